--- /dev/null
+++ b/Makefile
@@ -0,0 +1,66 @@
+# Short names for what developers and users do; `make help` lists them.
+
+PYTHON := /usr/bin/python3
+BUILD := build
+TEST_SEED ?= 20261204
+SEED ?= $(TEST_SEED)
+N ?= 20000
+
+.PHONY: help packages configure build demo test unit system lint format \
+	bench capacity latency soak generate clean
+
+help: ## List the targets
+	@grep -hE '^[a-z]+:.*##' $(MAKEFILE_LIST) | \
+		sed -E 's/:.*## /\t/' | expand -t 12
+
+packages: ## Install the Debian packages that are missing (needs root)
+	scripts/install_packages.sh
+
+configure: packages
+	@cmake -S . -B $(BUILD) -G Ninja > $(BUILD)-configure.log 2>&1 || \
+		(cat $(BUILD)-configure.log; exit 1)
+	@mkdir -p $(BUILD) && mv $(BUILD)-configure.log $(BUILD)/configure.log
+
+build: configure ## Build everything
+	ninja -C $(BUILD) --quiet
+
+demo: build ## Run one deployment on loopback with real calls
+	cd testsuite && $(PYTHON) demo.py
+
+test: unit system ## Run all tests
+
+unit: build
+	RC_PARAMS="seed=$(TEST_SEED)" ctest --test-dir $(BUILD) \
+		--output-on-failure -j 4
+
+system: build
+	cd testsuite && $(PYTHON) run_all.py
+
+lint: build ## Check format, names and common faults
+	scripts/lint.sh
+
+format: ## Format all sources
+	scripts/sources.sh | xargs clang-format -i
+
+bench: build ## Storm, ours against no control; writes build/bench
+	cd testsuite && $(PYTHON) bench.py
+
+latency: build ## Latency that nodes add to a call
+	cd testsuite && $(PYTHON) latency.py
+
+capacity: build ## Control cost by number of nodes; writes build/capacity
+	cd testsuite && $(PYTHON) capacity.py
+
+soak: build ## Longer property runs: make soak SEED=1 N=100000
+	RC_PARAMS="seed=$(SEED) max_success=$(N)" \
+		$(BUILD)/src/libpollenhall/pollenhall_test
+
+generate: ## Generate code from idl/ again
+	thrift --gen cpp:no_skeleton,moveable_types -out src/gen idl/peer.thrift
+	thrift --gen cpp:no_skeleton,moveable_types -out src/gen \
+		idl/operator.thrift
+	thrift --gen py -out testsuite/gen_py idl/operator.thrift
+	rm -f testsuite/gen_py/__init__.py testsuite/gen_py/*/*-remote
+
+clean: ## Remove the build folder
+	rm -rf $(BUILD)
--- /dev/null
+++ b/idl/operator.thrift
@@ -0,0 +1,170 @@
+/**
+ * Remote procedure calls for operators, served by every daemon.
+ *
+ * Thrift's binary protocol over a buffered transport. Every call may be sent
+ * to any node. Text is UTF-8.
+ */
+namespace cpp pollenhall.rpc
+namespace py pollenhall_operator
+
+/** One file of a folder of declarations. */
+struct document {
+  /** Path below the folder, for example `services/orders.ini`. */
+  1: required string path,
+  /** The file's bytes, as they stand in version control. */
+  2: required binary text
+}
+
+/** A fault in a document, with its place. */
+struct finding {
+  1: required string path,
+  /** 1 for the first line; 0 if the finding is about the whole file. */
+  2: required i32 line,
+  /** What is wrong and which values are allowed. */
+  3: required string message
+}
+
+/** Result of checking declarations; no finding means that they may apply. */
+struct check_reply {
+  1: required list<finding> findings
+}
+
+enum change_kind {
+  added = 1,
+  changed = 2,
+  removed = 3
+}
+
+/** Difference of one document from what is in force. */
+struct document_change {
+  1: required string path,
+  2: required change_kind kind,
+  /** Text in force at the node that answers; empty if added. */
+  3: required binary before,
+  /** Text that was proposed; empty if removed. */
+  4: required binary after
+}
+
+struct diff_reply {
+  1: required list<finding> findings,
+  /** Member that the documents declare. */
+  2: required string member,
+  /** Generation that the difference was taken from; pass it to `apply`. */
+  3: required i64 base_generation,
+  4: required list<document_change> changes
+}
+
+struct apply_request {
+  /** The whole folder; documents that are missing here are removed. */
+  1: required list<document> documents,
+  /** Generation that the caller has seen; -1 to take the newest. */
+  2: required i64 base_generation,
+  /** Unique id of this apply (a UUID); the same id never applies twice. */
+  3: required string apply_id,
+  /** Who applies, for the record. At most 128 bytes. */
+  4: required string actor
+}
+
+enum apply_result {
+  /** Accepted; in force on the node that answers. */
+  accepted = 1,
+  /** Nothing differs from what is in force. */
+  unchanged = 2,
+  /** Refused because of `findings`; nothing was written. */
+  invalid = 3,
+  /** Somebody else applied first; nothing was written. */
+  conflict = 4,
+  /** The store was not reached; nothing was written. */
+  not_accepted = 5,
+  /** The store's answer was lost; ask `settle` with the same apply id. */
+  not_known = 6
+}
+
+struct apply_reply {
+  1: required apply_result result,
+  2: required string member,
+  /** Generation in force after this call, as far as it is known. */
+  3: required i64 generation,
+  4: required list<finding> findings,
+  /** On conflict: what the other apply changed. */
+  5: required list<document_change> others_changes,
+  /** On conflict: who applied it. */
+  6: required string others_actor,
+  7: required string message
+}
+
+/** How far a generation has spread. */
+struct node_status {
+  1: required string node,
+  2: required string zone,
+  /** Whether the node answered this query. */
+  3: required bool heard,
+  /** Life of the peer as the answering node sees it. */
+  4: required string life,
+  5: required string service_name,
+  6: required string upstream_state,
+  7: required map<string, i64> generations
+}
+
+struct status_reply {
+  1: required string node,
+  2: required string version,
+  /** Whether the store answered lately. */
+  3: required bool store_reachable,
+  4: required list<node_status> nodes,
+  /** Members with the newest generation known to the answering node. */
+  5: required map<string, i64> generations
+}
+
+struct board_line {
+  1: required string service_name,
+  2: required string kind,
+  3: required i64 offered,
+  4: required i64 completed_in_time,
+  5: required i64 completed_late,
+  6: required i64 not_run,
+  7: required i64 unknown,
+  8: required i64 retries,
+  9: required i64 shed,
+  10: required i64 upstream_runs,
+  11: required i64 runs_for_others
+}
+
+struct report_reply {
+  1: required string member,
+  2: required list<board_line> lines,
+  3: required i32 nodes_heard,
+  4: required i32 nodes_known
+}
+
+/** The call was refused; `message` says why. */
+exception operator_error {
+  1: required string message
+}
+
+service operator_service {
+  /** Checks a folder of declarations; changes nothing. */
+  check_reply check(1: list<document> documents),
+
+  /** Compares a folder with what is in force; changes nothing. */
+  diff_reply diff(1: list<document> documents),
+
+  /** Puts a folder of declarations in force everywhere. */
+  apply_reply apply(1: apply_request request) throws (1: operator_error error),
+
+  /** Finds out what became of an apply whose answer was lost. */
+  apply_reply settle(1: string member, 2: string apply_id)
+      throws (1: operator_error error),
+
+  /** What the node knows of its peers, and what each has in force. */
+  status_reply status(),
+
+  /** Drains the upstream beside this node: no new work is accepted. */
+  void drain() throws (1: operator_error error),
+
+  /** Lets the upstream beside this node take work again. */
+  void undrain() throws (1: operator_error error),
+
+  /** The member's board, summed over all nodes that answer. */
+  report_reply report(1: string member) throws (1: operator_error error)
+}
--- /dev/null
+++ b/scripts/sources.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Lists the C++ sources written by hand.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+git ls-files --cached --others --exclude-standard \
+    'src/*.cpp' 'src/*.hpp' 'testsuite/*.cpp' | grep -v '^src/gen/'
--- /dev/null
+++ b/src/include/pollenhall/ini_document.hpp
@@ -0,0 +1,64 @@
+// An INI text as sections and entries that remember their lines. Used by the
+// daemon's settings, the members' declarations and the state charts.
+
+#pragma once
+
+#include <pollenhall/findings.hpp>
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace pollenhall
+{
+
+/// One `name = value` line.
+struct ini_entry
+{
+    std::string name;
+    std::string value;
+    int line = 0;
+};
+
+/// One section, from its heading to the next.
+struct ini_section
+{
+    std::string name;
+    /// Line of the heading; 0 for entries before the first heading.
+    int line = 0;
+    std::vector<ini_entry> entries;
+};
+
+/// Longest line that is accepted, in bytes.
+inline constexpr std::size_t max_ini_line_bytes = 190;
+/// Largest text that is accepted, in bytes; the store holds no larger value.
+inline constexpr std::size_t max_ini_text_bytes = 1024 * 1024;
+
+/// A parsed INI text.
+class ini_document
+{
+public:
+    /// Parses `text`. Everything that cannot be read is added to `findings`
+    /// under `path` and left out; the rest is kept, so that one call finds
+    /// all faults. Reported are: an empty or too large text, text that is
+    /// not UTF-8, an over-long line, a NUL byte, a line that is neither
+    /// heading, entry nor comment, a section or entry that occurs twice.
+    static ini_document parse(std::string_view path, std::string_view text,
+                              finding_list& findings);
+
+    [[nodiscard]] std::string const& path() const { return path_; }
+    [[nodiscard]] std::vector<ini_section> const& sections() const
+    {
+        return sections_;
+    }
+
+private:
+    std::string path_;
+    std::vector<ini_section> sections_;
+};
+
+/// Whether `text` is well-formed UTF-8 without NUL bytes.
+bool is_valid_utf8(std::string_view text);
+
+} // namespace pollenhall
--- /dev/null
+++ b/src/include/pollenhall/io/clocks.hpp
@@ -0,0 +1,24 @@
+// Reads the clocks of the machine for the decision library, which has none.
+
+#pragma once
+
+#include <pollenhall/ids.hpp>
+
+namespace pollenhall
+{
+
+/// Monotonic time since an arbitrary start.
+inline mono_time mono_now()
+{
+    return mono_time(std::chrono::duration_cast<microseconds>(
+        std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+/// Wall-clock time since the Unix epoch.
+inline wall_time wall_now()
+{
+    return wall_time(std::chrono::duration_cast<milliseconds>(
+        std::chrono::system_clock::now().time_since_epoch()));
+}
+
+} // namespace pollenhall
--- /dev/null
+++ b/src/include/pollenhall/io/gossip_socket.hpp
@@ -0,0 +1,62 @@
+// Sends and receives gossip datagrams. Runs on one thread, that of its
+// io_context.
+
+#pragma once
+
+#include <pollenhall/membership.hpp>
+
+#include <asio/io_context.hpp>
+#include <asio/ip/udp.hpp>
+
+#include <absl/status/status.h>
+
+#include <array>
+#include <cstdint>
+#include <functional>
+
+namespace pollenhall
+{
+
+/// Largest datagram that is accepted, in bytes.
+inline constexpr std::size_t max_datagram_bytes = 8'192;
+
+/// Counts since the start.
+struct gossip_counters
+{
+    std::uint64_t datagrams_sent = 0;
+    std::uint64_t datagrams_received = 0;
+    std::uint64_t datagrams_refused = 0;
+    std::uint64_t bytes_sent = 0;
+    std::uint64_t bytes_received = 0;
+};
+
+/// The node's UDP socket.
+class gossip_socket
+{
+public:
+    using message_handler =
+        std::function<void(gossip_message const&, peer_endpoint const&)>;
+
+    gossip_socket(asio::io_context& context, message_handler handler);
+
+    /// Binds the port and starts to receive.
+    absl::Status open(peer_endpoint const& listen);
+    /// Stops receiving.
+    void close();
+    /// Sends all datagrams; what the network does not take is lost.
+    void send(std::vector<gossip_send> const& messages);
+
+    [[nodiscard]] gossip_counters const& counters() const { return counters_; }
+
+private:
+    void receive_next();
+    void accept(std::size_t size);
+
+    asio::ip::udp::socket socket_;
+    message_handler handler_;
+    asio::ip::udp::endpoint sender_;
+    std::array<char, max_datagram_bytes> buffer_{};
+    gossip_counters counters_;
+};
+
+} // namespace pollenhall
--- /dev/null
+++ b/src/include/pollenhall/io/wire_codec.hpp
@@ -0,0 +1,59 @@
+// Converts between the types of the decision library and the messages of
+// `idl/peer.thrift`, and messages to and from bytes.
+
+#pragma once
+
+#include <pollenhall/board.hpp>
+#include <pollenhall/document_book.hpp>
+#include <pollenhall/home_roster.hpp>
+#include <pollenhall/io/calls.hpp>
+#include <pollenhall/membership.hpp>
+
+#include <peer_types.h>
+
+#include <absl/status/status.h>
+#include <absl/status/statusor.h>
+
+#include <string>
+#include <string_view>
+
+namespace pollenhall
+{
+
+/// Largest frame, in bytes; holds a body of `max_body_bytes` and headers.
+inline constexpr std::size_t max_frame_bytes = 18U * 1024 * 1024;
+/// Largest body of a call or answer, in bytes.
+inline constexpr std::size_t max_body_bytes = 16U * 1024 * 1024;
+/// Length of the number before each frame, in bytes.
+inline constexpr std::size_t frame_header_bytes = 4;
+
+/// Encodes a frame with its length in front.
+std::string encode_frame(wire::frame const& frame);
+/// Decodes a frame without its length. Anything that is not exactly one
+/// well-formed frame is an InvalidArgument error.
+absl::StatusOr<wire::frame> decode_frame(std::string_view bytes);
+/// Length of the frame that follows the four bytes of its header.
+std::size_t decode_frame_length(std::string_view header);
+
+/// Encodes a datagram.
+std::string encode_gossip(gossip_message const& message);
+/// Decodes a datagram; a FailedPrecondition error names a protocol version
+/// that is not understood, everything else is InvalidArgument.
+absl::StatusOr<gossip_message> decode_gossip(std::string_view bytes);
+
+/// The time left is counted from `now`, so that clocks need not agree.
+wire::call_request to_wire(forwarded_call const& call, correlation_id id,
+                           mono_time now);
+/// A key that is present but malformed is an InvalidArgument error.
+absl::StatusOr<forwarded_call> from_wire(wire::call_request&& request,
+                                         mono_time now);
+wire::call_answer to_wire(call_result const& result, correlation_id id);
+call_result from_wire(wire::call_answer&& answer);
+wire::space_push to_wire(space_update const& update);
+space_update from_wire(wire::space_push const& push);
+std::vector<wire::board_row> to_wire(board const& counts);
+board from_wire(std::vector<wire::board_row> const& rows);
+wire::space_digest to_wire(space_digest const& digest);
+space_digest from_wire(wire::space_digest const& digest);
+
+} // namespace pollenhall
--- /dev/null
+++ b/src/include/pollenhall/version.hpp
@@ -0,0 +1,15 @@
+// Version of the programs and of the protocol between nodes.
+
+#pragma once
+
+#include <string_view>
+
+namespace pollenhall
+{
+
+/// Version of daemon and command-line tool.
+inline constexpr std::string_view program_version = "0.1.0";
+/// Version of the protocol between nodes.
+inline constexpr int protocol_version = 1;
+
+} // namespace pollenhall
--- /dev/null
+++ b/src/libpollenhall/board.cpp
@@ -0,0 +1,47 @@
+// Implements the counts behind the boards.
+
+#include <pollenhall/board.hpp>
+
+namespace pollenhall
+{
+
+board_counts& board_counts::operator+=(board_counts const& other)
+{
+    offered += other.offered;
+    completed_in_time += other.completed_in_time;
+    completed_late += other.completed_late;
+    not_run += other.not_run;
+    unknown += other.unknown;
+    retries += other.retries;
+    shed += other.shed;
+    upstream_runs += other.upstream_runs;
+    runs_for_others += other.runs_for_others;
+    return *this;
+}
+
+void board::add(board const& other)
+{
+    for (auto const& [key, counts] : other.rows())
+        rows_[key] += counts;
+}
+
+void count_end(board_counts& counts, outcome what,
+               std::optional<refusal> reason, bool in_time)
+{
+    switch (what)
+    {
+    case outcome::completed:
+        ++(in_time ? counts.completed_in_time : counts.completed_late);
+        break;
+    case outcome::not_run:
+        ++counts.not_run;
+        if (reason == refusal::shed || reason == refusal::queue_timeout)
+            ++counts.shed;
+        break;
+    case outcome::unknown:
+        ++counts.unknown;
+        break;
+    }
+}
+
+} // namespace pollenhall
--- /dev/null
+++ b/src/libpollenhall/call_plan.cpp
@@ -0,0 +1,101 @@
+// Implements the decisions between the tries of a call.
+
+#include <pollenhall/call_plan.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace pollenhall
+{
+namespace
+{
+constexpr std::array<std::string_view, 3> outcome_names{"completed", "not_run",
+                                                        "unknown"};
+} // namespace
+
+std::string_view to_string(outcome value)
+{
+    return outcome_names.at(static_cast<std::size_t>(value) - 1);
+}
+
+std::optional<outcome> parse_outcome(std::string_view name)
+{
+    auto const found =
+        std::find(outcome_names.begin(), outcome_names.end(), name);
+    if (found == outcome_names.end())
+        return std::nullopt;
+    return static_cast<outcome>(found - outcome_names.begin() + 1);
+}
+
+bool is_movable(refusal reason)
+{
+    switch (reason)
+    {
+    case refusal::shed:
+    case refusal::queue_timeout:
+    case refusal::draining:
+    case refusal::no_upstream:
+    case refusal::stopping:
+    case refusal::upstream_refused:
+        return true;
+    case refusal::deadline:
+    case refusal::cancelled:
+    case refusal::quarantined:
+    case refusal::retries_exhausted:
+    case refusal::home_unreachable:
+    case refusal::key_refused:
+        break;
+    }
+    return false;
+}
+
+call_plan::call_plan(call_plan_options options, retry_budget budget)
+    : options_(options), budget_(budget)
+{
+}
+
+step_try call_plan::start()
+{
+    return resume();
+}
+
+step_try call_plan::resume()
+{
+    ++tries_;
+    lent_ = budget_.lend_all();
+    return {.lent = lent_};
+}
+
+bool call_plan::allows_retry(try_result const& result) const
+{
+    switch (result.what)
+    {
+    case outcome::completed:
+        return result.worth_retry && options_.repeatable;
+    case outcome::not_run:
+        return options_.may_move && result.reason && is_movable(*result.reason);
+    case outcome::unknown:
+        return options_.repeatable;
+    }
+    return false;
+}
+
+call_step call_plan::after(try_result const& result, retry_ratio& ratio,
+                           mono_time now, std::uint64_t random)
+{
+    budget_.give_back(result.returned, lent_);
+    if (result.what != outcome::not_run)
+        may_have_run_ = true;
+    if (!allows_retry(result))
+        return step_answer{};
+    auto const wait = std::max(result.retry_after,
+                               retry_backoff(tries_, random, options_.backoff));
+    if (now + wait >= options_.deadline)
+        return step_answer{};
+    if (budget_.unspent().value() == 0 || !ratio.spend())
+        return step_answer{};
+    budget_.spend();
+    return step_wait{.time = wait};
+}
+
+} // namespace pollenhall
--- /dev/null
+++ b/src/libpollenhall/crash_guard.cpp
@@ -0,0 +1,78 @@
+// Implements the recognition of crashing requests.
+
+#include <pollenhall/crash_guard.hpp>
+
+#include <algorithm>
+
+namespace pollenhall
+{
+
+crash_guard::crash_guard(crash_guard_options options) : options_(options) {}
+
+std::vector<crash_suspicion>
+crash_guard::on_crash(crash_id crash, std::span<fingerprint const> in_flight,
+                      mono_time now)
+{
+    std::vector<crash_suspicion> cast;
+    for (auto const content : in_flight)
+    {
+        if (cast.size() >= options_.max_per_crash)
+            break;
+        if (completed_.contains(content))
+            continue;
+        crash_suspicion const suspicion{
+            .content = content, .crash = crash, .time_left = options_.memory};
+        if (add(suspicion, now))
+            cast.push_back(suspicion);
+    }
+    return cast;
+}
+
+bool crash_guard::add(crash_suspicion const& suspicion, mono_time now)
+{
+    expire(now);
+    if (suspected_.size() >= options_.max_remembered &&
+        !suspected_.contains(suspicion.content))
+        return false;
+    auto& known = suspected_[suspicion.content];
+    auto const held = std::min(suspicion.time_left, options_.memory);
+    known.expires = std::max(known.expires, now + held);
+    return known.crashes.insert(suspicion.crash).second;
+}
+
+void crash_guard::on_completed(fingerprint content)
+{
+    suspected_.erase(content);
+    if (!completed_.insert(content).second)
+        return;
+    completed_order_.push_back(content);
+    if (completed_order_.size() <= options_.max_remembered)
+        return;
+    completed_.erase(completed_order_.front());
+    completed_order_.pop_front();
+}
+
+bool crash_guard::refuses(fingerprint content, std::size_t healthy_upstreams,
+                          mono_time now)
+{
+    auto const found = suspected_.find(content);
+    if (found == suspected_.end())
+        return false;
+    if (now >= found->second.expires)
+    {
+        suspected_.erase(found);
+        return false;
+    }
+    return found->second.crashes.size() >= options_.crashes_to_refuse ||
+           healthy_upstreams <= 1;
+}
+
+void crash_guard::expire(mono_time now)
+{
+    if (suspected_.size() < options_.max_remembered)
+        return;
+    std::erase_if(suspected_,
+                  [&](auto const& item) { return now >= item.second.expires; });
+}
+
+} // namespace pollenhall
--- /dev/null
+++ b/src/libpollenhall/dispatch_queue.cpp
@@ -0,0 +1,194 @@
+// Implements the queue of one upstream.
+
+#include <pollenhall/dispatch_queue.hpp>
+
+#include <algorithm>
+#include <tuple>
+
+namespace pollenhall
+{
+namespace
+{
+
+constexpr std::array<std::string_view, 12> refusal_names{
+    "shed",        "queue_timeout",     "deadline",
+    "draining",    "cancelled",         "quarantined",
+    "no_upstream", "retries_exhausted", "home_unreachable",
+    "key_refused", "stopping",          "upstream_refused"};
+
+// Weight of the newest call in the mean of service times.
+constexpr double service_time_weight = 0.1;
+// A call is hopeless if less than this share of the usual service time is
+// left; calls vary, so not every call below the mean is.
+constexpr double hopeless_share = 0.5;
+
+} // namespace
+
+std::string_view to_string(refusal reason)
+{
+    return refusal_names.at(static_cast<std::size_t>(reason));
+}
+
+std::optional<refusal> parse_refusal(std::string_view name)
+{
+    auto const found =
+        std::find(refusal_names.begin(), refusal_names.end(), name);
+    if (found == refusal_names.end())
+        return std::nullopt;
+    return static_cast<refusal>(found - refusal_names.begin());
+}
+
+bool dispatch_queue::start_order::operator()(queued_call const& left,
+                                             queued_call const& right) const
+{
+    return std::tie(right.rank, left.arrived, left.number) <
+           std::tie(left.rank, right.arrived, right.number);
+}
+
+dispatch_queue::dispatch_queue(dispatch_options options)
+    : options_(options), admission_(options.admission),
+      limit_(options.concurrency)
+{
+}
+
+std::optional<refusal> dispatch_queue::offer(queued_call const& call,
+                                             mono_time now)
+{
+    admission_.tick(now);
+    if (!accepting_)
+        return refusal::draining;
+    admission_.on_arrival(call.rank);
+    auto const needed = microseconds(
+        static_cast<std::int64_t>(service_time_us_ * hopeless_share));
+    if (now + needed >= call.deadline)
+        return refusal::deadline;
+    if (!admission_.admits(call.rank) || !make_room(call.rank))
+        return refusal::shed;
+    auto const position = waiting_.insert(call).first;
+    by_number_[call.number] = position;
+    return std::nullopt;
+}
+
+bool dispatch_queue::make_room(request_rank rank)
+{
+    if (waiting_.size() < options_.max_queued)
+        return true;
+    auto const lowest = std::prev(waiting_.end());
+    if (lowest->rank >= rank)
+        return false;
+    evicted_.push_back({.number = lowest->number, .reason = refusal::shed});
+    remove(lowest);
+    return true;
+}
+
+void dispatch_queue::remove(waiting_set::const_iterator position)
+{
+    by_number_.erase(position->number);
+    waiting_.erase(position);
+}
+
+int dispatch_queue::running_of(member_name const& member) const
+{
+    auto const found = running_by_member_.find(member);
+    return found == running_by_member_.end() ? 0 : found->second;
+}
+
+bool dispatch_queue::may_start(importance level) const
+{
+    auto const share = options_.class_share.at(static_cast<std::size_t>(level));
+    auto const allowed =
+        std::max(1, static_cast<int>(limit_.current() * share));
+    return running() < allowed;
+}
+
+// The class that comes first decides; within it the member that runs least
+// has its turn, so that no member can crowd out another.
+std::optional<dispatch_queue::waiting_set::const_iterator>
+dispatch_queue::next_to_start() const
+{
+    if (waiting_.empty())
+        return std::nullopt;
+    auto best = waiting_.begin();
+    auto const level = class_of(best->rank);
+    if (!may_start(level))
+        return std::nullopt;
+    if (running_by_member_.size() < 2)
+        return best;
+    for (auto item = waiting_.begin();
+         item != waiting_.end() && class_of(item->rank) == level; ++item)
+    {
+        if (running_of(item->member) < running_of(best->member))
+            best = item;
+    }
+    return best;
+}
+
+std::vector<queued_call> dispatch_queue::take_startable(mono_time now)
+{
+    std::vector<queued_call> startable;
+    while (auto const next = next_to_start())
+    {
+        queued_call call = **next;
+        remove(*next);
+        admission_.on_wait(now - call.arrived);
+        running_[call.number] = {.member = call.member, .started = now};
+        ++running_by_member_[call.member];
+        limit_.on_start(running());
+        startable.push_back(std::move(call));
+    }
+    return startable;
+}
+
+std::vector<dropped_call> dispatch_queue::take_dropped(mono_time now)
+{
+    admission_.tick(now);
+    std::vector<dropped_call> dropped;
+    dropped.swap(evicted_);
+    for (auto item = waiting_.begin(); item != waiting_.end();)
+    {
+        auto const current = item++;
+        std::optional<refusal> reason;
+        if (now >= current->deadline)
+            reason = refusal::deadline;
+        else if (now - current->arrived >= options_.max_wait)
+            reason = refusal::queue_timeout;
+        if (!reason)
+            continue;
+        admission_.on_wait(now - current->arrived);
+        dropped.push_back({.number = current->number, .reason = *reason});
+        remove(current);
+    }
+    return dropped;
+}
+
+void dispatch_queue::on_finished(call_number number, mono_time now,
+                                 bool latency_counts)
+{
+    auto const found = running_.find(number);
+    if (found == running_.end())
+        return;
+    auto const started = found->second.started;
+    auto const member = running_by_member_.find(found->second.member);
+    if (--member->second == 0)
+        running_by_member_.erase(member);
+    running_.erase(found);
+    if (!latency_counts)
+        return;
+    auto const time = static_cast<double>((now - started).count());
+    service_time_us_ += service_time_us_ == 0
+                            ? time
+                            : (time - service_time_us_) * service_time_weight;
+    limit_.on_completion(started, now);
+    admission_.on_completion();
+}
+
+bool dispatch_queue::cancel(call_number number)
+{
+    auto const found = by_number_.find(number);
+    if (found == by_number_.end())
+        return false;
+    remove(found->second);
+    return true;
+}
+
+} // namespace pollenhall
--- /dev/null
+++ b/src/libpollenhall/test_main.cpp
@@ -0,0 +1,4 @@
+// Entry of the unit tests.
+
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
--- /dev/null
+++ b/src/libpollenhall_io/document_writer.cpp
@@ -0,0 +1,139 @@
+// Implements changing documents in the store.
+
+#include <pollenhall/io/document_writer.hpp>
+
+#include <thread>
+
+namespace pollenhall
+{
+namespace
+{
+
+constexpr int settle_attempts = 3;
+constexpr milliseconds settle_pause{200};
+
+write_report report(write_outcome what, space_update current,
+                    std::string message)
+{
+    return {.what = what,
+            .current = std::move(current),
+            .message = std::move(message)};
+}
+
+write_report settle_with_patience(etcd_store& store, std::string_view prefix,
+                                  write_request const& request)
+{
+    write_report result;
+    for (int attempt = 0; attempt < settle_attempts; ++attempt)
+    {
+        result = settle_write(store, prefix, request.space, request.apply_id,
+                              request.base);
+        if (result.what != write_outcome::not_known)
+            return result;
+        std::this_thread::sleep_for(settle_pause);
+    }
+    return result;
+}
+
+write_report commit(etcd_store& store, std::string_view prefix,
+                    write_request const& request, stored_space const& stored,
+                    std::vector<book_document> const& changes)
+{
+    auto const head = next_head(stored.head, request.apply_id, request.actor);
+    std::vector<store_write> writes{{.key = head_key(prefix, request.space),
+                                     .value = format_head(head),
+                                     .lease = std::nullopt}};
+    for (auto const& document : changes)
+        writes.push_back(
+            {.key = document_key(prefix, request.space, document.path),
+             .value = format_document(document),
+             .lease = std::nullopt});
+    auto const result =
+        store.commit({{.key = head_key(prefix, request.space),
+                       .modified = store_revision(stored.head_modified)}},
+                     writes);
+    if (result.ok() && result->succeeded)
+    {
+        space_update update{.space = request.space,
+                            .newest = head.newest,
+                            .apply_id = request.apply_id,
+                            .actor = request.actor,
+                            .since = request.base,
+                            .documents = changes};
+        return report(write_outcome::accepted, std::move(update), "");
+    }
+    if (absl::IsUnavailable(result.status()))
+        return report(write_outcome::not_accepted, {},
+                      std::string(result.status().message()));
+    if (absl::IsInvalidArgument(result.status()))
+        return report(write_outcome::too_large, {},
+                      std::string(result.status().message()));
+    return settle_with_patience(store, prefix, request);
+}
+
+} // namespace
+
+absl::StatusOr<stored_space>
+read_space(etcd_store& store, std::string_view prefix, std::string_view space)
+{
+    auto view = store.read_prefix(space_prefix(prefix, space));
+    if (!view.ok())
+        return view.status();
+    std::vector<stored_value> values;
+    for (auto& record : view->records)
+        values.push_back({.key = std::move(record.key),
+                          .value = std::move(record.value),
+                          .modified = record.modified.value()});
+    auto spaces = parse_spaces(prefix, values);
+    if (!spaces.empty())
+        return std::move(spaces.front());
+    stored_space empty;
+    empty.update.space = space;
+    return empty;
+}
+
+write_report write_documents(etcd_store& store, std::string_view prefix,
+                             write_request const& request)
+{
+    auto const stored = read_space(store, prefix, request.space);
+    if (!stored.ok())
+        return report(write_outcome::not_accepted, {},
+                      std::string(stored.status().message()));
+    if (stored->head.made_by(request.apply_id) != generation(0))
+        return report(write_outcome::accepted, stored->update,
+                      "this apply was accepted before");
+    if (stored->head.newest != request.base)
+        return report(write_outcome::conflict, stored->update, "");
+    document_book book;
+    book.merge(stored->update);
+    auto const changes =
+        changed_documents(book.files(request.space), request.documents,
+                          generation(stored->head.newest.value() + 1));
+    if (changes.empty())
+        return report(write_outcome::unchanged, stored->update, "");
+    if (changes.size() > max_changed_documents)
+        return report(write_outcome::too_large, stored->update,
+                      std::to_string(changes.size()) +
+                          " documents change; one apply may change up to " +
+                          std::to_string(max_changed_documents));
+    return commit(store, prefix, request, *stored, changes);
+}
+
+write_report settle_write(etcd_store& store, std::string_view prefix,
+                          std::string_view space, std::string_view apply_id,
+                          generation base)
+{
+    auto const stored = read_space(store, prefix, space);
+    if (!stored.ok())
+        return report(write_outcome::not_known, {},
+                      std::string(stored.status().message()));
+    if (stored->head.made_by(apply_id) != generation(0))
+        return report(write_outcome::accepted, stored->update, "");
+    if (stored->head.newest > base)
+        return report(write_outcome::conflict, stored->update, "");
+    return report(write_outcome::not_known, stored->update,
+                  "the change is not in the store so far, but may still "
+                  "arrive there");
+}
+
+} // namespace pollenhall
--- /dev/null
+++ b/src/libpollenhall_io/etcd_store.cpp
@@ -0,0 +1,322 @@
+// Implements the client of etcd's JSON gateway. Keys and values travel in
+// base64, numbers of 64 bits as strings, as the gateway's pages ask.
+
+#include <pollenhall/io/etcd_store.hpp>
+
+#include <atomic>
+#include <mutex>
+
+#include <absl/strings/escaping.h>
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+namespace pollenhall
+{
+namespace
+{
+
+using nlohmann::json;
+
+constexpr int http_ok = 200;
+constexpr std::string_view json_type = "application/json";
+
+std::string encode(std::string_view text)
+{
+    return absl::Base64Escape(std::string(text));
+}
+
+std::string decode(std::string const& text)
+{
+    std::string bytes;
+    if (!absl::Base64Unescape(text, &bytes))
+        throw std::runtime_error("value is not base64");
+    return bytes;
+}
+
+// First key behind all that begin with `prefix`.
+std::string end_of_prefix(std::string_view prefix)
+{
+    std::string end(prefix);
+    if (!end.empty())
+        ++end.back();
+    return end;
+}
+
+// The gateway writes 64-bit numbers as strings and leaves zeros out.
+std::int64_t number_at(json const& object, char const* name)
+{
+    auto const found = object.find(name);
+    if (found == object.end())
+        return 0;
+    if (found->is_string())
+        return std::stoll(found->get<std::string>());
+    return found->get<std::int64_t>();
+}
+
+store_revision revision_of(json const& answer)
+{
+    auto const header = answer.find("header");
+    return store_revision(
+        header == answer.end() ? 0 : number_at(*header, "revision"));
+}
+
+store_record parse_record(json const& item)
+{
+    return {.key = decode(item.at("key").get<std::string>()),
+            .value = decode(item.value("value", "")),
+            .modified = store_revision(number_at(item, "mod_revision"))};
+}
+
+std::vector<std::string> changed_keys(json const& result)
+{
+    std::vector<std::string> keys;
+    for (auto const& event : result.value("events", json::array()))
+    {
+        std::string key;
+        auto const kv = event.value("kv", json::object());
+        if (absl::Base64Unescape(kv.value("key", ""), &key))
+            keys.push_back(std::move(key));
+    }
+    return keys;
+}
+
+absl::Status status_of(httplib::Error error)
+{
+    auto const text = "store: " + httplib::to_string(error);
+    bool const never_sent = error == httplib::Error::Connection ||
+                            error == httplib::Error::ConnectionTimeout ||
+                            error == httplib::Error::BindIPAddress;
+    return never_sent ? absl::UnavailableError(text) : absl::UnknownError(text);
+}
+
+absl::Status status_of_code(int code, std::string const& body)
+{
+    constexpr int service_unavailable = 503;
+    constexpr std::size_t shown_bytes = 200;
+    auto const text = "store answered " + std::to_string(code) + ": " +
+                      body.substr(0, shown_bytes);
+    if (code == service_unavailable)
+        return absl::UnavailableError(text);
+    return absl::UnknownError(text);
+}
+
+} // namespace
+
+class etcd_store::implementation
+{
+public:
+    explicit implementation(etcd_store_options options)
+        : options_(std::move(options)), client_(options_.address, options_.port)
+    {
+        client_.set_keep_alive(true);
+        client_.set_tcp_nodelay(true);
+        client_.set_connection_timeout(options_.timeout);
+        client_.set_read_timeout(options_.timeout);
+        client_.set_write_timeout(options_.timeout);
+    }
+
+    absl::StatusOr<json> post(char const* path, json const& body)
+    {
+        ++calls;
+        auto const result =
+            client_.Post(path, body.dump(), std::string(json_type).c_str());
+        if (!result)
+            return status_of(result.error());
+        if (result->status != http_ok)
+            return status_of_code(result->status, result->body);
+        auto answer = json::parse(result->body, nullptr, false);
+        if (answer.is_discarded())
+            return absl::UnknownError("store: answer is no JSON");
+        return answer;
+    }
+
+    absl::Status stream(char const* path, json const& body,
+                        milliseconds max_quiet,
+                        std::function<bool(std::string_view)> const& on_data)
+    {
+        ++calls;
+        httplib::Client client(options_.address, options_.port);
+        client.set_connection_timeout(options_.timeout);
+        client.set_read_timeout(max_quiet);
+        stream_guard const guard(*this, client);
+        httplib::Request request;
+        request.method = "POST";
+        request.path = path;
+        request.body = body.dump();
+        request.set_header("Content-Type", std::string(json_type));
+        request.content_receiver = [&](char const* data, std::size_t size,
+                                       std::uint64_t, std::uint64_t) {
+            return !interrupted_ && on_data({data, size});
+        };
+        auto const result = client.send(request);
+        if (!result && result.error() != httplib::Error::Canceled)
+            return status_of(result.error());
+        return absl::OkStatus();
+    }
+
+    void interrupt()
+    {
+        std::lock_guard const lock(mutex_);
+        interrupted_ = true;
+        if (stream_client_ != nullptr)
+            stream_client_->stop();
+    }
+
+    std::atomic<std::uint64_t> calls{0};
+
+private:
+    // Makes a stream's client known to `interrupt` while it is in use.
+    class stream_guard
+    {
+    public:
+        stream_guard(implementation& owner, httplib::Client& client)
+            : owner_(owner)
+        {
+            std::lock_guard const lock(owner_.mutex_);
+            owner_.stream_client_ = &client;
+        }
+        ~stream_guard()
+        {
+            std::lock_guard const lock(owner_.mutex_);
+            owner_.stream_client_ = nullptr;
+        }
+        stream_guard(stream_guard const&) = delete;
+        stream_guard& operator=(stream_guard const&) = delete;
+
+    private:
+        implementation& owner_;
+    };
+
+    etcd_store_options options_;
+    httplib::Client client_;
+    std::mutex mutex_;
+    // The client of a stream under way; null if there is none.
+    httplib::Client* stream_client_ = nullptr;
+    std::atomic<bool> interrupted_{false};
+};
+
+etcd_store::etcd_store(etcd_store_options options)
+    : implementation_(std::make_unique<implementation>(std::move(options)))
+{
+}
+
+etcd_store::~etcd_store() = default;
+
+void etcd_store::interrupt()
+{
+    implementation_->interrupt();
+}
+
+std::uint64_t etcd_store::calls() const
+{
+    return implementation_->calls;
+}
+
+absl::StatusOr<store_view> etcd_store::read_prefix(std::string_view prefix)
+{
+    auto const answer = implementation_->post(
+        "/v3/kv/range", {{"key", encode(prefix)},
+                         {"range_end", encode(end_of_prefix(prefix))}});
+    if (!answer.ok())
+        return answer.status();
+    try
+    {
+        store_view view{.revision = revision_of(*answer), .records = {}};
+        for (auto const& item : answer->value("kvs", json::array()))
+            view.records.push_back(parse_record(item));
+        return view;
+    }
+    catch (std::exception const& error)
+    {
+        return absl::InternalError(std::string("store: ") + error.what());
+    }
+}
+
+absl::StatusOr<commit_result>
+etcd_store::commit(std::vector<store_condition> const& conditions,
+                   std::vector<store_write> const& writes)
+{
+    json compare = json::array();
+    for (auto const& condition : conditions)
+        compare.push_back(
+            {{"key", encode(condition.key)},
+             {"target", "MOD"},
+             {"result", "EQUAL"},
+             {"mod_revision", std::to_string(condition.modified.value())}});
+    json success = json::array();
+    for (auto const& write : writes)
+    {
+        if (write.value.size() > max_store_value_bytes)
+            return absl::InvalidArgumentError(
+                "value of " + write.key + " has " +
+                std::to_string(write.value.size()) +
+                " bytes; the store holds up to " +
+                std::to_string(max_store_value_bytes));
+        json put{{"key", encode(write.key)}, {"value", encode(write.value)}};
+        if (write.lease)
+            put["lease"] = std::to_string(write.lease->value());
+        success.push_back({{"requestPut", put}});
+    }
+    auto const answer = implementation_->post(
+        "/v3/kv/txn", {{"compare", compare}, {"success", success}});
+    if (!answer.ok())
+        return answer.status();
+    return commit_result{.succeeded = answer->value("succeeded", false),
+                         .revision = revision_of(*answer)};
+}
+
+absl::StatusOr<lease_id> etcd_store::grant_lease(seconds time_to_live)
+{
+    auto const answer = implementation_->post(
+        "/v3/lease/grant", {{"TTL", std::to_string(time_to_live.count())}});
+    if (!answer.ok())
+        return answer.status();
+    return lease_id(number_at(*answer, "ID"));
+}
+
+absl::Status etcd_store::keep_alive(lease_id lease)
+{
+    auto const answer = implementation_->post(
+        "/v3/lease/keepalive", {{"ID", std::to_string(lease.value())}});
+    if (!answer.ok())
+        return answer.status();
+    auto const result = answer->value("result", json::object());
+    if (number_at(result, "TTL") <= 0)
+        return absl::NotFoundError("lease has lapsed");
+    return absl::OkStatus();
+}
+
+absl::Status etcd_store::watch(std::string_view prefix, store_revision from,
+                               milliseconds max_quiet,
+                               change_handler const& on_change)
+{
+    json const body{{"create_request",
+                     {{"key", encode(prefix)},
+                      {"range_end", encode(end_of_prefix(prefix))},
+                      {"start_revision", std::to_string(from.value())}}}};
+    // Answers arrive as one JSON object a line, in pieces of any size.
+    std::string buffered;
+    auto const on_data = [&](std::string_view data)
+    {
+        buffered += data;
+        for (auto end = buffered.find('\n'); end != std::string::npos;
+             end = buffered.find('\n'))
+        {
+            auto const item =
+                json::parse(buffered.substr(0, end), nullptr, false);
+            buffered.erase(0, end + 1);
+            if (item.is_discarded())
+                return false;
+            auto const result = item.value("result", json::object());
+            if (result.value("canceled", false))
+                return false;
+            auto const keys = changed_keys(result);
+            if (!keys.empty() && !on_change(keys, revision_of(result)))
+                return false;
+        }
+        return true;
+    };
+    return implementation_->stream("/v3/watch", body, max_quiet, on_data);
+}
+
+} // namespace pollenhall
--- /dev/null
+++ b/src/pollenctl/commands.cpp
@@ -0,0 +1,484 @@
+// Implements the commands.
+
+#include "commands.hpp"
+
+#include "declaration_folder.hpp"
+#include "operator_connection.hpp"
+
+#include <array>
+#include <iomanip>
+#include <iostream>
+#include <map>
+#include <random>
+#include <set>
+#include <sstream>
+
+#include <nlohmann/json.hpp>
+
+namespace pollenhall
+{
+namespace
+{
+
+using nlohmann::json;
+
+json to_json(std::vector<finding> const& findings)
+{
+    json list = json::array();
+    for (auto const& item : findings)
+        list.push_back({{"path", item.path},
+                        {"line", item.line},
+                        {"message", item.message}});
+    return list;
+}
+
+std::vector<finding> from_rpc(std::vector<rpc::finding> const& findings)
+{
+    std::vector<finding> result;
+    for (auto const& item : findings)
+        result.push_back(
+            {.path = item.path, .line = item.line, .message = item.message});
+    return result;
+}
+
+int report_findings(command_arguments const& arguments,
+                    std::vector<finding> const& findings)
+{
+    if (arguments.wants_json())
+        std::cout << json{{"findings", to_json(findings)}}.dump(2) << "\n";
+    else
+    {
+        for (auto const& item : findings)
+            std::cout << to_string(item) << "\n";
+        std::cout << findings.size() << " findings\n";
+    }
+    return findings.empty() ? exit_code::done : exit_code::findings;
+}
+
+// Reads and checks the folder; the text of documents for the node.
+std::vector<rpc::document> read_documents(command_arguments const& arguments,
+                                          finding_list& findings)
+{
+    auto const files = read_folder(arguments.positional, findings);
+    parse_declarations(files, findings);
+    findings.sort();
+    std::vector<rpc::document> documents;
+    for (auto const& file : files)
+    {
+        rpc::document document;
+        document.path = file.path;
+        document.text = file.text;
+        documents.push_back(std::move(document));
+    }
+    return documents;
+}
+
+bool lacks_folder(command_arguments const& arguments,
+                  std::string_view command_name)
+{
+    if (!arguments.positional.empty())
+        return false;
+    std::cerr << "pollenctl: " << command_name
+              << " needs a folder of declarations\n";
+    return true;
+}
+
+std::string make_apply_id()
+{
+    std::random_device device;
+    std::ostringstream id;
+    id << std::hex << std::setfill('0');
+    for (int i = 0; i < 4; ++i)
+        id << std::setw(8) << device();
+    return id.str();
+}
+
+char const* name_of(rpc::change_kind::type kind)
+{
+    return rpc::_change_kind_VALUES_TO_NAMES.at(static_cast<int>(kind));
+}
+
+json to_json(std::vector<rpc::document_change> const& changes)
+{
+    json list = json::array();
+    for (auto const& change : changes)
+        list.push_back({{"path", change.path},
+                        {"change", name_of(change.kind)},
+                        {"before", change.before},
+                        {"after", change.after}});
+    return list;
+}
+
+std::vector<std::string> split_lines(std::string const& text)
+{
+    std::vector<std::string> lines;
+    std::istringstream in(text);
+    for (std::string line; std::getline(in, line);)
+        lines.push_back(line);
+    return lines;
+}
+
+// Lines that only one of the texts has, in the order of the texts.
+void print_line_changes(std::string const& before, std::string const& after)
+{
+    auto const old_lines = split_lines(before);
+    auto const new_lines = split_lines(after);
+    std::multiset<std::string> const in_old(old_lines.begin(), old_lines.end());
+    std::multiset<std::string> const in_new(new_lines.begin(), new_lines.end());
+    for (auto const& line : old_lines)
+    {
+        if (!in_new.contains(line))
+            std::cout << "    - " << line << "\n";
+    }
+    for (auto const& line : new_lines)
+    {
+        if (!in_old.contains(line))
+            std::cout << "    + " << line << "\n";
+    }
+}
+
+void print_changes(std::vector<rpc::document_change> const& changes)
+{
+    for (auto const& change : changes)
+    {
+        std::cout << "  " << name_of(change.kind) << " " << change.path << "\n";
+        print_line_changes(change.before, change.after);
+    }
+}
+
+int run_check(command_arguments const& arguments)
+{
+    if (lacks_folder(arguments, "check"))
+        return exit_code::usage;
+    finding_list findings;
+    read_documents(arguments, findings);
+    return report_findings(arguments, findings.items());
+}
+
+int run_diff(command_arguments const& arguments)
+{
+    if (lacks_folder(arguments, "diff"))
+        return exit_code::usage;
+    finding_list findings;
+    auto const documents = read_documents(arguments, findings);
+    if (!findings.empty())
+        return report_findings(arguments, findings.items());
+    operator_connection node(arguments.node);
+    rpc::diff_reply reply;
+    node->diff(reply, documents);
+    if (!reply.findings.empty())
+        return report_findings(arguments, from_rpc(reply.findings));
+    if (arguments.wants_json())
+        std::cout << json{{"member", reply.member},
+                          {"base_generation", reply.base_generation},
+                          {"changes", to_json(reply.changes)}}
+                         .dump(2)
+                  << "\n";
+    else
+    {
+        std::cout << reply.changes.size() << " changes for member "
+                  << reply.member << " since generation "
+                  << reply.base_generation << "\n";
+        print_changes(reply.changes);
+    }
+    return exit_code::done;
+}
+
+int exit_code_of(rpc::apply_result::type result)
+{
+    switch (result)
+    {
+    case rpc::apply_result::accepted:
+    case rpc::apply_result::unchanged:
+        return exit_code::done;
+    case rpc::apply_result::invalid:
+        return exit_code::findings;
+    case rpc::apply_result::conflict:
+        return exit_code::conflict;
+    case rpc::apply_result::not_accepted:
+    case rpc::apply_result::not_known:
+        break;
+    }
+    return exit_code::unreachable;
+}
+
+void print_apply_text(rpc::apply_reply const& reply,
+                      std::string const& apply_id)
+{
+    for (auto const& item : from_rpc(reply.findings))
+        std::cout << to_string(item) << "\n";
+    std::cout << "result "
+              << rpc::_apply_result_VALUES_TO_NAMES.at(
+                     static_cast<int>(reply.result))
+              << ", member " << reply.member << ", generation "
+              << reply.generation << ", apply id " << apply_id << "\n";
+    if (!reply.message.empty())
+        std::cout << reply.message << "\n";
+    if (reply.result == rpc::apply_result::conflict)
+    {
+        std::cout << "changed meanwhile by " << reply.others_actor << ":\n";
+        print_changes(reply.others_changes);
+    }
+    if (reply.result == rpc::apply_result::not_known)
+        std::cout << "find out with: pollenctl settle --member " << reply.member
+                  << " --apply-id " << apply_id << "\n";
+}
+
+int report_apply(command_arguments const& arguments,
+                 rpc::apply_reply const& reply, std::string const& apply_id)
+{
+    if (arguments.wants_json())
+        std::cout << json{{"result", rpc::_apply_result_VALUES_TO_NAMES.at(
+                                         static_cast<int>(reply.result))},
+                          {"member", reply.member},
+                          {"generation", reply.generation},
+                          {"apply_id", apply_id},
+                          {"message", reply.message},
+                          {"findings", to_json(from_rpc(reply.findings))},
+                          {"others_actor", reply.others_actor},
+                          {"others_changes", to_json(reply.others_changes)}}
+                         .dump(2)
+                  << "\n";
+    else
+        print_apply_text(reply, apply_id);
+    return exit_code_of(reply.result);
+}
+
+int run_apply(command_arguments const& arguments)
+{
+    if (lacks_folder(arguments, "apply"))
+        return exit_code::usage;
+    finding_list findings;
+    rpc::apply_request request;
+    request.documents = read_documents(arguments, findings);
+    if (!findings.empty())
+        return report_findings(arguments, findings.items());
+    request.base_generation = arguments.base;
+    request.apply_id =
+        arguments.apply_id.empty() ? make_apply_id() : arguments.apply_id;
+    request.actor = arguments.actor;
+    operator_connection node(arguments.node);
+    rpc::apply_reply reply;
+    node->apply(reply, request);
+    return report_apply(arguments, reply, request.apply_id);
+}
+
+int run_settle(command_arguments const& arguments)
+{
+    if (arguments.member.empty() || arguments.apply_id.empty())
+    {
+        std::cerr << "pollenctl: settle needs --member and --apply-id\n";
+        return exit_code::usage;
+    }
+    operator_connection node(arguments.node);
+    rpc::apply_reply reply;
+    node->settle(reply, arguments.member, arguments.apply_id);
+    return report_apply(arguments, reply, arguments.apply_id);
+}
+
+json to_json(rpc::node_status const& node)
+{
+    return {{"node", node.node},
+            {"zone", node.zone},
+            {"heard", node.heard},
+            {"life", node.life},
+            {"service", node.service_name},
+            {"upstream_state", node.upstream_state},
+            {"generations", node.generations}};
+}
+
+void print_status_text(rpc::status_reply const& reply)
+{
+    std::cout << "node " << reply.node << ", version " << reply.version
+              << ", store "
+              << (reply.store_reachable ? "reachable" : "not asked lately")
+              << "\n";
+    for (auto const& [space, newest] : reply.generations)
+    {
+        int in_force = 0;
+        int heard = 0;
+        for (auto const& node : reply.nodes)
+        {
+            heard += node.heard ? 1 : 0;
+            auto const found = node.generations.find(space);
+            in_force +=
+                found != node.generations.end() && found->second >= newest;
+        }
+        std::cout << space << " generation " << newest << ": in force on "
+                  << in_force << " of " << heard << " nodes heard\n";
+    }
+    std::cout << std::left << std::setw(24) << "NODE" << std::setw(14) << "ZONE"
+              << std::setw(9) << "LIFE" << std::setw(7) << "HEARD"
+              << std::setw(16) << "SERVICE"
+              << "UPSTREAM\n";
+    for (auto const& node : reply.nodes)
+        std::cout << std::setw(24) << node.node << std::setw(14) << node.zone
+                  << std::setw(9) << node.life << std::setw(7)
+                  << (node.heard ? "yes" : "no") << std::setw(16)
+                  << node.service_name << node.upstream_state << "\n";
+}
+
+int run_status(command_arguments const& arguments)
+{
+    operator_connection node(arguments.node);
+    rpc::status_reply reply;
+    node->status(reply);
+    if (!arguments.wants_json())
+    {
+        print_status_text(reply);
+        return exit_code::done;
+    }
+    json nodes = json::array();
+    for (auto const& item : reply.nodes)
+        nodes.push_back(to_json(item));
+    std::cout << json{{"node", reply.node},
+                      {"version", reply.version},
+                      {"store_reachable", reply.store_reachable},
+                      {"generations", reply.generations},
+                      {"nodes", nodes}}
+                     .dump(2)
+              << "\n";
+    return exit_code::done;
+}
+
+int run_drain(command_arguments const& arguments)
+{
+    operator_connection node(arguments.node);
+    if (arguments.undo)
+        node->undrain();
+    else
+        node->drain();
+    std::cout << (arguments.undo ? "takes work again\n" : "draining\n");
+    return exit_code::done;
+}
+
+json to_json(rpc::board_line const& line)
+{
+    return {{"service", line.service_name},
+            {"kind", line.kind},
+            {"offered", line.offered},
+            {"completed_in_time", line.completed_in_time},
+            {"completed_late", line.completed_late},
+            {"not_run", line.not_run},
+            {"unknown", line.unknown},
+            {"retries", line.retries},
+            {"shed", line.shed},
+            {"upstream_runs", line.upstream_runs},
+            {"runs_for_others", line.runs_for_others}};
+}
+
+void print_report_text(rpc::report_reply const& reply)
+{
+    std::cout << "board of " << reply.member << ", " << reply.nodes_heard
+              << " of " << reply.nodes_known << " nodes heard\n";
+    std::cout << std::left << std::setw(26) << "KIND" << std::right
+              << std::setw(9) << "OFFERED" << std::setw(9) << "IN TIME"
+              << std::setw(7) << "LATE" << std::setw(9) << "NOT RUN"
+              << std::setw(9) << "UNKNOWN" << std::setw(9) << "RETRIES"
+              << std::setw(7) << "SHED" << std::setw(9) << "RUNS"
+              << "\n";
+    for (auto const& line : reply.lines)
+        std::cout << std::left << std::setw(26)
+                  << line.service_name + "/" + line.kind << std::right
+                  << std::setw(9) << line.offered << std::setw(9)
+                  << line.completed_in_time << std::setw(7)
+                  << line.completed_late << std::setw(9) << line.not_run
+                  << std::setw(9) << line.unknown << std::setw(9)
+                  << line.retries << std::setw(7) << line.shed << std::setw(9)
+                  << line.upstream_runs << "\n";
+}
+
+int run_report(command_arguments const& arguments)
+{
+    if (arguments.member.empty())
+    {
+        std::cerr << "pollenctl: report needs --member\n";
+        return exit_code::usage;
+    }
+    operator_connection node(arguments.node);
+    rpc::report_reply reply;
+    node->report(reply, arguments.member);
+    if (!arguments.wants_json())
+    {
+        print_report_text(reply);
+        return exit_code::done;
+    }
+    json lines = json::array();
+    for (auto const& line : reply.lines)
+        lines.push_back(to_json(line));
+    std::cout << json{{"member", reply.member},
+                      {"nodes_heard", reply.nodes_heard},
+                      {"nodes_known", reply.nodes_known},
+                      {"lines", lines}}
+                     .dump(2)
+              << "\n";
+    return exit_code::done;
+}
+
+// Turns the exceptions of a connection into messages and exit codes.
+template <int (*Run)(command_arguments const&)>
+int with_messages(command_arguments const& arguments)
+{
+    try
+    {
+        return Run(arguments);
+    }
+    catch (rpc::operator_error const& error)
+    {
+        std::cerr << "pollenctl: refused by the node: " << error.message
+                  << "\n";
+        return exit_code::findings;
+    }
+    catch (std::invalid_argument const& error)
+    {
+        std::cerr << "pollenctl: " << error.what() << "\n";
+        return exit_code::usage;
+    }
+    catch (apache::thrift::TException const& error)
+    {
+        std::cerr << "pollenctl: node " << arguments.node << ": "
+                  << error.what() << "\n";
+        return exit_code::unreachable;
+    }
+}
+
+constexpr std::array commands{
+    command{"check", "check DIR",
+            "Checks a folder of declarations without a node.",
+            &with_messages<run_check>},
+    command{"diff", "diff DIR",
+            "Shows what an apply of the folder would change.",
+            &with_messages<run_diff>},
+    command{"apply", "apply DIR",
+            "Puts a folder of declarations in force everywhere.",
+            &with_messages<run_apply>},
+    command{"settle", "settle --member NAME --apply-id ID",
+            "Finds out what became of an apply whose answer was lost.",
+            &with_messages<run_settle>},
+    command{"status", "status",
+            "Shows all nodes and which generations are in force on them.",
+            &with_messages<run_status>},
+    command{"drain", "drain [--undo]", "Drains the upstream beside the node.",
+            &with_messages<run_drain>},
+    command{"report", "report --member NAME", "Shows the member's board.",
+            &with_messages<run_report>},
+};
+
+} // namespace
+
+std::span<command const> all_commands()
+{
+    return commands;
+}
+
+command const* find_command(std::string_view name)
+{
+    for (auto const& item : commands)
+    {
+        if (item.name == name)
+            return &item;
+    }
+    return nullptr;
+}
+
+} // namespace pollenhall
--- /dev/null
+++ b/src/pollenctl/operator_connection.cpp
@@ -0,0 +1,41 @@
+// Implements the connection to a node.
+
+#include "operator_connection.hpp"
+
+#include <pollenhall/io/node_settings.hpp>
+
+#include <stdexcept>
+
+#include <thrift/protocol/TBinaryProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+#include <thrift/transport/TSocket.h>
+
+namespace pollenhall
+{
+namespace
+{
+constexpr int connect_timeout_ms = 2'000;
+constexpr int call_timeout_ms = 10'000;
+} // namespace
+
+operator_connection::operator_connection(std::string const& node)
+{
+    using apache::thrift::protocol::TBinaryProtocol;
+    using apache::thrift::transport::TBufferedTransport;
+    using apache::thrift::transport::TSocket;
+    auto const endpoint = parse_endpoint(node);
+    if (!endpoint)
+        throw std::invalid_argument("--node is '" + node +
+                                    "'; allowed is IP:PORT");
+    auto const socket =
+        std::make_shared<TSocket>(endpoint->address, endpoint->port);
+    socket->setConnTimeout(connect_timeout_ms);
+    socket->setRecvTimeout(call_timeout_ms);
+    socket->setSendTimeout(call_timeout_ms);
+    auto const transport = std::make_shared<TBufferedTransport>(socket);
+    transport->open();
+    client_ = std::make_unique<rpc::operator_serviceClient>(
+        std::make_shared<TBinaryProtocol>(transport));
+}
+
+} // namespace pollenhall
--- /dev/null
+++ b/src/pollenhalld/call_entry.cpp
@@ -0,0 +1,435 @@
+// Implements taking calls and spreading them.
+
+#include "call_entry.hpp"
+
+#include <pollenhall/hashing.hpp>
+#include <pollenhall/io/log_event.hpp>
+
+#include <asio/post.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace pollenhall
+{
+namespace
+{
+
+constexpr int bad_request = 400;
+constexpr int not_found = 404;
+constexpr milliseconds retry_soon{1'000};
+
+fingerprint fingerprint_of(caller_request const& request)
+{
+    auto const route = hash_text(to_string(request.kind) + " " +
+                                 request.method + " " + request.target);
+    return fingerprint(combine_hashes(route, hash_text(request.body)));
+}
+
+caller_answer make_fault(int status, std::string text)
+{
+    caller_answer answer;
+    answer.result = make_refusal(refusal::key_refused);
+    answer.fault_status = status;
+    answer.fault = std::move(text);
+    return answer;
+}
+
+route_result to_route_result(call_result const& result)
+{
+    switch (result.what)
+    {
+    case outcome::completed:
+        return result.upstream_failed ? route_result::failed
+                                      : route_result::completed;
+    case outcome::not_run:
+        return result.reason == refusal::no_upstream ? route_result::failed
+                                                     : route_result::refused;
+    case outcome::unknown:
+        break;
+    }
+    // A connection that was lost says nothing of the upstream behind it.
+    return result.upstream_failed ? route_result::failed
+                                  : route_result::cancelled;
+}
+
+} // namespace
+
+call_entry::call_entry(traffic_core& core)
+    : core_(core),
+      runner_(core, [this](std::uint64_t call) { cancel_child(call); }),
+      home_(core, home_ratio_,
+            [this](forwarded_call const& call, call_handler handler)
+            { return spread(call, std::move(handler)); })
+{
+}
+
+call_entry::~call_entry() = default;
+
+call_entry::service_state& call_entry::state_of(service_name const& service)
+{
+    auto const found = services_.find(service);
+    if (found != services_.end())
+        return found->second;
+    router_options options;
+    options.own_zone = core_.settings.zone;
+    options.zone_trip = core_.settings.zone_trip;
+    return services_
+        .emplace(service, service_state{.routes = router(options),
+                                        .ratio = retry_ratio{},
+                                        .next_in_turn = core_.random()})
+        .first->second;
+}
+
+std::optional<caller_answer>
+call_entry::find_fault(caller_request const& request,
+                       node_view const& view) const
+{
+    auto const* const service = view.declarations->find(request.kind.service);
+    if (service == nullptr)
+        return make_fault(not_found, "service '" +
+                                         request.kind.service.value() +
+                                         "' is not declared");
+    auto const* const kind = service->find(request.kind.kind);
+    if (kind == nullptr)
+        return make_fault(not_found, "service '" +
+                                         request.kind.service.value() +
+                                         "' declares no kind '" +
+                                         request.kind.kind.value() + "'");
+    if (!kind->repeatable && !request.key)
+        return make_fault(bad_request,
+                          "kind '" + to_string(request.kind) +
+                              "' is not repeatable; it needs the header "
+                              "Idempotency-Key with a UUID of version 7");
+    return std::nullopt;
+}
+
+void call_entry::serve(caller_request request, answer_handler handler)
+{
+    auto const view = core_.view.get();
+    if (auto fault = find_fault(request, *view))
+    {
+        handler(std::move(*fault));
+        return;
+    }
+    auto const now = mono_now();
+    auto const& service = *view->declarations->find(request.kind.service);
+    auto const& kind = *service.find(request.kind.kind);
+    auto const number = next_call_++;
+    open_call open;
+    open.handler = std::move(handler);
+    open.kind = request.kind;
+    open.owner = service.owner;
+    open.has_key = !kind.repeatable;
+
+    forwarded_call call;
+    call.kind = request.kind;
+    call.trace_id = request.trace
+                        ? request.trace->trace_id
+                        : make_trace_id(core_.random(), core_.random());
+    call.content = fingerprint_of(request);
+    call.level = kind.level;
+    call.member = service.owner;
+    call.lent = kind.retries;
+    call.deadline = now + kind.deadline;
+    if (request.timeout)
+        call.deadline = std::min(call.deadline, now + *request.timeout);
+    open.trace_id = call.trace_id;
+    bool const has_live_parent = adopt_parent(request, open, call, number);
+    call.cohort = cohort_of(call.trace_id);
+    call.method = std::move(request.method);
+    call.target = std::move(request.target);
+    call.headers = std::move(request.headers);
+    call.body = std::make_shared<std::string const>(std::move(request.body));
+    if (!kind.repeatable)
+        call.key = std::move(request.key);
+    open.deadline = call.deadline;
+    if (!open.parent)
+        ++core_.counts.row({.member = open.owner, .kind = open.kind}).offered;
+    bool const key_needs_home = call.key.has_value();
+    open_.emplace(number, std::move(open));
+    if (!has_live_parent)
+        finish(number, make_refusal(refusal::cancelled));
+    else if (!view->accepts_work)
+        finish(number, key_needs_home
+                           ? make_unknown()
+                           : make_refusal(refusal::stopping, retry_soon));
+    else if (!key_needs_home && is_quarantined(call, *view))
+        finish(number, make_refusal(refusal::quarantined));
+    else
+        start(number, std::move(call), kind);
+}
+
+// Ties a call to the one that the upstream runs. Returns false if the call
+// names a parent that has ended.
+bool call_entry::adopt_parent(caller_request const& request, open_call& open,
+                              forwarded_call& call, std::uint64_t number)
+{
+    if (!request.trace)
+        return true;
+    auto* const parent = core_.hops.find_parent(*request.trace);
+    if (parent == nullptr)
+        return !request.trace->parent_hop.has_value();
+    parent->children.insert(number);
+    open.parent = hop_registry::id_of(*request.trace);
+    call.level = parent->level;
+    call.member = parent->member;
+    call.deadline = std::min(call.deadline, parent->deadline);
+    call.work_done = parent->work_done + 1;
+    if (core_.has_policy())
+    {
+        open.lent = parent->budget.lend_half();
+        call.lent = open.lent;
+    }
+    return true;
+}
+
+bool call_entry::is_quarantined(forwarded_call const& call,
+                                node_view const& view)
+{
+    auto const* const upstreams = view.find(call.kind.service);
+    auto const healthy =
+        upstreams == nullptr ? 0 : upstreams->candidates.size();
+    return core_.guard.refuses(call.content, healthy, mono_now());
+}
+
+void call_entry::start(std::uint64_t number, forwarded_call call,
+                       kind_declaration const& kind)
+{
+    bool const has_key = call.key.has_value();
+    // The home of a key decides on its tries; the entry only asks it.
+    call_plan_options const options{.repeatable = kind.repeatable,
+                                    .may_move = !has_key,
+                                    .deadline = call.deadline};
+    auto& ratio = has_key ? home_ratio_ : state_of(call.kind.service).ratio;
+    auto sender =
+        [this, has_key](forwarded_call const& item, call_handler handler)
+    {
+        return has_key ? ask_home(item, std::move(handler))
+                       : spread(item, std::move(handler));
+    };
+    auto const driver = std::make_shared<call_driver>(
+        core_, std::move(call), options, ratio, std::move(sender),
+        [this, number](call_result result)
+        { finish(number, std::move(result)); });
+    open_.at(number).driver = driver;
+    driver->start();
+}
+
+void call_entry::finish(std::uint64_t number, call_result result)
+{
+    auto node = open_.extract(number);
+    if (node.empty())
+        return;
+    auto& open = node.mapped();
+    auto const retries = open.driver ? open.driver->retries() : 0;
+    if (open.parent)
+    {
+        if (auto* const parent = core_.hops.find(*open.parent))
+        {
+            parent->children.erase(number);
+            parent->budget.give_back(open.driver ? result.returned : open.lent,
+                                     open.lent);
+        }
+    }
+    count_end_of(open, result, retries);
+    caller_answer answer;
+    answer.result = std::move(result);
+    answer.trace_id = open.trace_id;
+    open.handler(std::move(answer));
+}
+
+void call_entry::count_end_of(open_call const& open, call_result const& result,
+                              int retries)
+{
+    auto& row = core_.counts.row({.member = open.owner, .kind = open.kind});
+    row.retries += retries;
+    if (!open.parent)
+        count_end(row, result.what, result.reason, mono_now() <= open.deadline);
+}
+
+void call_entry::cancel_child(std::uint64_t call)
+{
+    auto const found = open_.find(call);
+    if (found == open_.end() || !found->second.driver)
+        return;
+    auto const driver = found->second.driver;
+    driver->cancel(refusal::cancelled);
+}
+
+void call_entry::post_result(call_handler handler, call_result result)
+{
+    asio::post(core_.context, [handler = std::move(handler),
+                               result = std::move(result)]() mutable
+               { handler(std::move(result)); });
+}
+
+std::optional<node_id> call_entry::choose(forwarded_call const& call,
+                                          service_view const& upstreams,
+                                          service_state& state,
+                                          route_failure& failure)
+{
+    auto const& candidates = upstreams.candidates;
+    if (!core_.has_policy() && !candidates.empty())
+        return candidates[state.next_in_turn++ % candidates.size()].node;
+    auto const choice = state.routes.choose(candidates, {}, rank_of(call),
+                                            mono_now(), core_.random());
+    failure = choice.failure;
+    return choice.node;
+}
+
+try_canceller call_entry::spread(forwarded_call const& call,
+                                 call_handler handler)
+{
+    auto const view = core_.view.get();
+    auto const* const upstreams = view->find(call.kind.service);
+    auto& state = state_of(call.kind.service);
+    auto failure = route_failure::no_candidate;
+    std::optional<node_id> node;
+    if (upstreams != nullptr)
+        node = choose(call, *upstreams, state, failure);
+    if (!node)
+    {
+        auto result =
+            make_refusal(failure == route_failure::shed ? refusal::shed
+                                                        : refusal::no_upstream);
+        result.returned = call.lent;
+        post_result(std::move(handler), std::move(result));
+        return [] {};
+    }
+    auto const started = mono_now();
+    state.routes.on_start(*node, started);
+    // A cancelled try that waits on this node ends at once, one on another
+    // node never; either way its end is noted once.
+    auto const noted = std::make_shared<bool>(false);
+    auto const note_end =
+        [&state, node = *node, started, noted](route_result result)
+    {
+        if (std::exchange(*noted, true))
+            return;
+        auto const now = mono_now();
+        state.routes.on_finish(node, now, now - started, result);
+    };
+    auto observed = [&state, node = *node, note_end,
+                     handler = std::move(handler)](call_result result)
+    {
+        auto const now = mono_now();
+        note_end(to_route_result(result));
+        if (result.load.limit > 0)
+            state.routes.on_hint(node, result.load, now);
+        handler(std::move(result));
+    };
+    auto cancel = send_to(*node, call, std::move(observed));
+    return [note_end, cancel = std::move(cancel)]
+    {
+        note_end(route_result::cancelled);
+        cancel();
+    };
+}
+
+try_canceller call_entry::send_to(node_id const& node,
+                                  forwarded_call const& call,
+                                  call_handler handler)
+{
+    if (node == core_.settings.name)
+    {
+        auto const number = runner_.run(call, std::move(handler));
+        return [this, number] { runner_.cancel(number); };
+    }
+    auto const view = core_.view.get();
+    auto const peer = view->peers.find(node);
+    if (peer == view->peers.end())
+    {
+        auto result = make_refusal(refusal::no_upstream);
+        result.returned = call.lent;
+        post_result(std::move(handler), std::move(result));
+        return [] {};
+    }
+    auto const endpoint = peer->second.endpoint;
+    auto const id = core_.links->call(endpoint, call, std::move(handler));
+    return [this, endpoint, id] { core_.links->cancel(endpoint, id); };
+}
+
+try_canceller call_entry::ask_home(forwarded_call const& call,
+                                   call_handler handler)
+{
+    auto const lookup = home_.find_home(call.kind.service, *call.key);
+    if (lookup.home && lookup.home->node == core_.settings.name)
+    {
+        home_.run(call, std::move(handler));
+        return [] {};
+    }
+    if (lookup.certainly_not_run || !lookup.home)
+    {
+        auto result = lookup.certainly_not_run
+                          ? make_refusal(refusal::home_unreachable, retry_soon)
+                          : make_unknown();
+        result.returned = call.lent;
+        post_result(std::move(handler), std::move(result));
+        return [] {};
+    }
+    // What was not sent now may have been sent before by another entry, so
+    // only the home can say that a key did not run.
+    auto truthful =
+        [handler = std::move(handler), lent = call.lent](call_result result)
+    {
+        bool const not_sent = result.what == outcome::not_run &&
+                              result.reason == refusal::no_upstream &&
+                              result.load.limit == 0;
+        if (not_sent)
+        {
+            result = make_unknown();
+            result.reason = refusal::home_unreachable;
+            result.returned = lent;
+        }
+        handler(std::move(result));
+    };
+    return send_to(lookup.home->node, call, std::move(truthful));
+}
+
+try_canceller call_entry::serve_peer(forwarded_call call, call_handler handler)
+{
+    auto const kind = call.kind;
+    auto with_load =
+        [this, kind, handler = std::move(handler)](call_result result)
+    {
+        result.load = load_for(kind);
+        handler(std::move(result));
+    };
+    if (call.key && !call.delegated)
+    {
+        home_.run(std::move(call), std::move(with_load));
+        return [] {};
+    }
+    if (core_.guard.refuses(call.content, 2, mono_now()))
+    {
+        auto result = make_refusal(refusal::quarantined);
+        result.returned = call.lent;
+        post_result(std::move(with_load), std::move(result));
+        return [] {};
+    }
+    auto const number = runner_.run(std::move(call), std::move(with_load));
+    return [this, number] { runner_.cancel(number); };
+}
+
+load_hint call_entry::load_for(kind_ref const& kind)
+{
+    auto load = runner_.load();
+    auto const view = core_.view.get();
+    auto const* const declaration = view->declarations->find(kind);
+    if (declaration == nullptr)
+        return load;
+    for (auto const& target : declaration->calls)
+    {
+        auto const* const upstreams = view->find(target.service);
+        if (upstreams == nullptr)
+            continue;
+        auto const threshold = threshold_one_hop_up(
+            state_of(target.service)
+                .routes.lowest_threshold(upstreams->candidates, mono_now()));
+        load.admitted_rank = std::max(load.admitted_rank, threshold);
+    }
+    return load;
+}
+
+} // namespace pollenhall
--- /dev/null
+++ b/src/pollenhalld/caller_server.cpp
@@ -0,0 +1,502 @@
+// Implements the HTTP port with cpp-httplib.
+
+#include "caller_server.hpp"
+
+#include "metrics.hpp"
+
+#include <pollenhall/io/connection_queue.hpp>
+#include <pollenhall/io/http_names.hpp>
+#include <pollenhall/io/log_event.hpp>
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <charconv>
+#include <future>
+#include <thread>
+#include <utility>
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+namespace pollenhall
+{
+namespace
+{
+
+using nlohmann::json;
+
+constexpr int http_ok = 200;
+constexpr int bad_request = 400;
+constexpr int conflict = 409;
+constexpr int service_unavailable = 503;
+constexpr int gateway_timeout = 504;
+constexpr int too_many_requests = 429;
+constexpr std::size_t keep_alive_requests = 1'000'000;
+constexpr int keep_alive_seconds = 60;
+constexpr std::string_view problem_type = "application/problem+json";
+constexpr milliseconds longest_caller_timeout = std::chrono::minutes{10};
+
+// Whether the request that this thread serves is among the open ones.
+thread_local bool is_counted = false;
+
+// cpp-httplib decodes forms, compresses answers and cuts ranges by itself; a
+// call must pass as it is, so these headers are taken out of its sight and
+// kept under another name.
+constexpr std::string_view hidden_prefix = "X-Pollenhall-Hidden-";
+constexpr std::array<std::string_view, 4> hidden_headers{
+    "Content-Type", "Accept-Encoding", "Content-Encoding", "Range"};
+
+void hide_headers(httplib::Request& request)
+{
+    for (auto const name : hidden_headers)
+    {
+        auto const found = request.headers.find(std::string(name));
+        if (found == request.headers.end())
+            continue;
+        auto value = std::move(found->second);
+        request.headers.erase(found);
+        request.headers.emplace(std::string(hidden_prefix) + std::string(name),
+                                std::move(value));
+    }
+    request.ranges.clear();
+}
+
+std::vector<http_header> headers_of(httplib::Request const& request)
+{
+    constexpr std::array<std::string_view, 4> own{"REMOTE_ADDR", "REMOTE_PORT",
+                                                  "LOCAL_ADDR", "LOCAL_PORT"};
+    constexpr std::array<std::string_view, 4> replaced{
+        http_names::traceparent, http_names::tracestate, http_names::timeout,
+        http_names::idempotency_key};
+    std::vector<http_header> headers;
+    for (auto const& [name, value] : request.headers)
+    {
+        bool const skipped =
+            is_hop_by_hop(name) ||
+            std::find(own.begin(), own.end(), name) != own.end() ||
+            std::any_of(replaced.begin(), replaced.end(),
+                        [&name = name](std::string_view item)
+                        { return http_names::are_equal(name, item); });
+        if (skipped)
+            continue;
+        std::string_view shown = name;
+        if (shown.starts_with(hidden_prefix))
+            shown.remove_prefix(hidden_prefix.size());
+        headers.push_back({.name = std::string(shown), .value = value});
+    }
+    return headers;
+}
+
+void set_problem(httplib::Response& response, int status,
+                 std::string_view title, std::string_view detail)
+{
+    response.status = status;
+    response.set_content(json{{"type", "about:blank"},
+                              {"title", title},
+                              {"status", status},
+                              {"detail", detail}}
+                             .dump(),
+                         std::string(problem_type).c_str());
+}
+
+void set_outcome(httplib::Response& response, outcome what)
+{
+    response.set_header(std::string(http_names::outcome).c_str(),
+                        std::string(to_string(what)));
+}
+
+// Splits `/call/SERVICE/KIND/rest?query`; false if it has no kind.
+bool split_target(std::string_view target, caller_request& request)
+{
+    target.remove_prefix(http_names::call_path.size());
+    auto const path_end = target.find('?');
+    auto const path = target.substr(0, path_end);
+    auto const slash = path.find('/');
+    if (slash == std::string_view::npos)
+        return false;
+    auto const kind_end = path.find('/', slash + 1);
+    auto const kind = path.substr(slash + 1, kind_end - slash - 1);
+    if (slash == 0 || kind.empty())
+        return false;
+    request.kind = {.service = service_name(std::string(path.substr(0, slash))),
+                    .kind = kind_name(std::string(kind))};
+    request.target = target.substr(slash + 1 + kind.size());
+    return true;
+}
+
+// Fills in what comes from headers; returns a fault, empty if there is none.
+std::string read_call_headers(httplib::Request const& source,
+                              caller_request& request)
+{
+    auto const header = [&](std::string_view name)
+    { return source.get_header_value(std::string(name).c_str()); };
+    auto const key = header(http_names::idempotency_key);
+    if (!key.empty())
+    {
+        request.key = idempotency_key::parse(key);
+        if (!request.key)
+            return "Idempotency-Key is no UUID of version 7 (RFC 9562)";
+    }
+    auto const timeout = header(http_names::timeout);
+    if (!timeout.empty())
+    {
+        std::int64_t value = 0;
+        auto const* const end = timeout.data() + timeout.size();
+        auto const result = std::from_chars(timeout.data(), end, value);
+        if (result.ec != std::errc{} || result.ptr != end || value < 1 ||
+            value > longest_caller_timeout.count())
+            return "Pollenhall-Timeout-Ms is no number from 1 to 600000";
+        request.timeout = milliseconds(value);
+    }
+    auto const traceparent = header(http_names::traceparent);
+    if (!traceparent.empty())
+        request.trace =
+            parse_trace_context(traceparent, header(http_names::tracestate));
+    return {};
+}
+
+int status_of_refusal(call_result const& result)
+{
+    if (result.what == outcome::unknown)
+        return gateway_timeout;
+    if (!result.reason)
+        return service_unavailable;
+    switch (*result.reason)
+    {
+    case refusal::key_refused:
+        return conflict;
+    case refusal::shed:
+    case refusal::queue_timeout:
+    case refusal::retries_exhausted:
+        return too_many_requests;
+    default:
+        return service_unavailable;
+    }
+}
+
+std::string describe_refusal(call_result const& result)
+{
+    if (result.what == outcome::unknown)
+        return "the call may have run, but its answer did not arrive in time";
+    std::string text = "the call did not run";
+    if (result.reason)
+        text += ": " + std::string(to_string(*result.reason));
+    return text;
+}
+
+} // namespace
+
+class caller_server::implementation
+{
+public:
+    implementation(node_settings const& settings, traffic_plane& traffic,
+                   control_plane& control, view_holder const& view)
+        : settings_(settings), traffic_(traffic), control_(control), view_(view)
+    {
+        server_.new_task_queue = [&settings]
+        {
+            return new connection_queue(
+                static_cast<std::size_t>(settings.caller_connections));
+        };
+        server_.set_tcp_nodelay(true);
+        server_.set_keep_alive_max_count(keep_alive_requests);
+        server_.set_keep_alive_timeout(keep_alive_seconds);
+        server_.set_payload_max_length(
+            static_cast<std::size_t>(settings.max_body_bytes));
+        add_routes();
+    }
+
+    ~implementation();
+
+    absl::Status start();
+    void stop_accepting();
+    [[nodiscard]] int open_requests() const { return open_requests_; }
+
+private:
+    void add_routes();
+    httplib::Server::HandlerResponse before_routing(httplib::Request& request,
+                                                    httplib::Response& reply);
+    void handle_call(httplib::Request const& source, std::string body,
+                     httplib::Response& reply);
+    void handle_body_call(httplib::Request const& source,
+                          httplib::Response& reply,
+                          httplib::ContentReader const& reader);
+    void handle_announcement(httplib::Request const& source,
+                             httplib::Response& reply);
+    void write_answer(caller_answer&& answer, httplib::Response& reply);
+    void write_refusal(call_result const& result, httplib::Response& reply);
+    void handle_event(char const* event, httplib::Response& reply);
+
+    node_settings const& settings_;
+    traffic_plane& traffic_;
+    control_plane& control_;
+    view_holder const& view_;
+    httplib::Server server_;
+    std::thread thread_;
+    std::atomic<int> open_requests_{0};
+};
+
+httplib::Server::HandlerResponse
+caller_server::implementation::before_routing(httplib::Request& request,
+                                              httplib::Response& reply)
+{
+    ++open_requests_;
+    is_counted = true;
+    // The library tells the caller to close the connection if the caller
+    // itself asked for that; while stopping, all are told.
+    if (!view_.get()->accepts_work)
+        request.headers.emplace("Connection", "close");
+    if (connection_queue::is_surplus())
+    {
+        set_problem(reply, service_unavailable, "Too many connections",
+                    "this node serves up to " +
+                        std::to_string(settings_.caller_connections) +
+                        " connections");
+        set_outcome(reply, outcome::not_run);
+        reply.set_header("Retry-After", "1");
+        reply.set_header("Connection", "close");
+        return httplib::Server::HandlerResponse::Handled;
+    }
+    if (request.path.starts_with(http_names::call_path))
+        hide_headers(request);
+    return httplib::Server::HandlerResponse::Unhandled;
+}
+
+void caller_server::implementation::add_routes()
+{
+    // Called when an answer has been written.
+    server_.set_logger(
+        [this](httplib::Request const&, httplib::Response const&)
+        { open_requests_ -= std::exchange(is_counted, false) ? 1 : 0; });
+    server_.set_pre_routing_handler(
+        [this](httplib::Request const& request, httplib::Response& reply)
+        {
+            // The request is the server's own object and not const there.
+            return before_routing(const_cast<httplib::Request&>(request),
+                                  reply);
+        });
+    auto const plain =
+        [this](httplib::Request const& request, httplib::Response& reply)
+    { handle_call(request, {}, reply); };
+    auto const with_body = [this](httplib::Request const& request,
+                                  httplib::Response& reply,
+                                  httplib::ContentReader const& reader)
+    { handle_body_call(request, reply, reader); };
+    constexpr char const* any_call = "/call/.*";
+    server_.Get(any_call, plain);
+    server_.Options(any_call, plain);
+    server_.Post(any_call, with_body);
+    server_.Put(any_call, with_body);
+    server_.Patch(any_call, with_body);
+    server_.Delete(any_call, with_body);
+    std::string const upstream(http_names::upstream_path);
+    server_.Put(upstream, [this](httplib::Request const& request,
+                                 httplib::Response& reply)
+                { handle_announcement(request, reply); });
+    server_.Delete(upstream,
+                   [this](httplib::Request const&, httplib::Response& reply)
+                   { handle_event("withdrawn", reply); });
+    server_.Post(upstream + "/drain",
+                 [this](httplib::Request const&, httplib::Response& reply)
+                 { handle_event("drain", reply); });
+    server_.Get("/healthz",
+                [](httplib::Request const&, httplib::Response& reply)
+                { reply.set_content("live\n", "text/plain"); });
+    server_.Get("/readyz",
+                [this](httplib::Request const&, httplib::Response& reply)
+                {
+                    auto const view = view_.get();
+                    bool const ready = view->ready && view->accepts_work;
+                    reply.status = ready ? http_ok : service_unavailable;
+                    reply.set_content(ready ? "ready\n" : "not ready\n",
+                                      "text/plain");
+                });
+    server_.Get("/metrics",
+                [this](httplib::Request const&, httplib::Response& reply)
+                {
+                    reply.set_content(format_metrics(traffic_, control_),
+                                      "text/plain; version=0.0.4");
+                });
+}
+
+void caller_server::implementation::handle_event(char const* event,
+                                                 httplib::Response& reply)
+{
+    if (control_.fire_upstream_event(event))
+        reply.set_content(json{{"state", "accepted"}}.dump(),
+                          "application/json");
+    else
+        set_problem(reply, conflict, "Not possible now",
+                    "the upstream's state does not allow this");
+}
+
+void caller_server::implementation::handle_announcement(
+    httplib::Request const& source, httplib::Response& reply)
+{
+    constexpr int max_port = 65'535;
+    auto const body = json::parse(source.body, nullptr, false);
+    announced_upstream upstream;
+    try
+    {
+        upstream.service = service_name(body.at("service").get<std::string>());
+        upstream.endpoint.address = settings_.address;
+        upstream.endpoint.port = body.at("port").get<int>();
+        upstream.slots = body.value("slots", 0);
+        upstream.incarnation = body.at("incarnation").get<std::string>();
+    }
+    catch (json::exception const& error)
+    {
+        set_problem(reply, bad_request, "Malformed announcement", error.what());
+        return;
+    }
+    bool const valid = upstream.endpoint.port > 0 &&
+                       upstream.endpoint.port <= max_port &&
+                       upstream.slots >= 0 && !upstream.service.value().empty();
+    if (!valid)
+    {
+        set_problem(reply, bad_request, "Malformed announcement",
+                    "port must be 1 to 65535, slots not negative, service "
+                    "not empty");
+        return;
+    }
+    control_.announce_upstream(std::move(upstream));
+    reply.set_content(
+        json{{"lease_ms", settings_.upstream_lease.count()}}.dump(),
+        "application/json");
+}
+
+void caller_server::implementation::handle_body_call(
+    httplib::Request const& source, httplib::Response& reply,
+    httplib::ContentReader const& reader)
+{
+    std::string body;
+    reader(
+        [&body](char const* data, std::size_t size)
+        {
+            body.append(data, size);
+            return true;
+        });
+    // The library has answered already if the body was refused.
+    if (reply.status >= bad_request)
+        return;
+    handle_call(source, std::move(body), reply);
+}
+
+void caller_server::implementation::handle_call(httplib::Request const& source,
+                                                std::string body,
+                                                httplib::Response& reply)
+{
+    caller_request request;
+    request.method = source.method;
+    if (!split_target(source.target, request))
+    {
+        set_problem(reply, bad_request, "Malformed path",
+                    "the path is not /call/SERVICE/KIND");
+        set_outcome(reply, outcome::not_run);
+        return;
+    }
+    auto const fault = read_call_headers(source, request);
+    if (!fault.empty())
+    {
+        set_problem(reply, bad_request, "Malformed header", fault);
+        set_outcome(reply, outcome::not_run);
+        return;
+    }
+    request.headers = headers_of(source);
+    request.body = std::move(body);
+    std::promise<caller_answer> promise;
+    auto future = promise.get_future();
+    traffic_.serve(std::move(request), [&promise](caller_answer answer)
+                   { promise.set_value(std::move(answer)); });
+    write_answer(future.get(), reply);
+}
+
+void caller_server::implementation::write_answer(caller_answer&& answer,
+                                                 httplib::Response& reply)
+{
+    auto& result = answer.result;
+    if (!answer.trace_id.empty())
+        reply.set_header("Pollenhall-Trace-Id", answer.trace_id);
+    if (answer.fault_status != 0)
+    {
+        set_problem(reply, answer.fault_status, "Not acceptable", answer.fault);
+        set_outcome(reply, outcome::not_run);
+        return;
+    }
+    if (result.what != outcome::completed)
+    {
+        write_refusal(result, reply);
+        return;
+    }
+    set_outcome(reply, outcome::completed);
+    reply.status = result.status;
+    for (auto const& header : result.headers)
+        reply.headers.emplace(header.name, header.value);
+    reply.body = std::move(result.body);
+}
+
+void caller_server::implementation::write_refusal(call_result const& result,
+                                                  httplib::Response& reply)
+{
+    set_problem(reply, status_of_refusal(result),
+                std::string(to_string(result.what)), describe_refusal(result));
+    set_outcome(reply, result.what);
+    if (result.reason)
+        reply.set_header(std::string(http_names::reason).c_str(),
+                         std::string(to_string(*result.reason)));
+    auto const wait = std::max(result.retry_after, milliseconds{1'000});
+    reply.set_header("Retry-After",
+                     std::to_string((wait.count() + 999) / 1'000));
+}
+
+absl::Status caller_server::implementation::start()
+{
+    if (!server_.bind_to_port(settings_.address, settings_.caller_port))
+        return absl::UnavailableError("cannot listen on " + settings_.address +
+                                      ":" +
+                                      std::to_string(settings_.caller_port));
+    thread_ = std::thread([this] { server_.listen_after_bind(); });
+    while (!server_.is_running())
+        std::this_thread::yield();
+    return absl::OkStatus();
+}
+
+void caller_server::implementation::stop_accepting()
+{
+    server_.stop();
+}
+
+caller_server::implementation::~implementation()
+{
+    server_.stop();
+    if (thread_.joinable())
+        thread_.join();
+}
+
+caller_server::caller_server(node_settings const& settings,
+                             traffic_plane& traffic, control_plane& control,
+                             view_holder const& view)
+    : implementation_(
+          std::make_unique<implementation>(settings, traffic, control, view))
+{
+}
+
+caller_server::~caller_server() = default;
+
+absl::Status caller_server::start()
+{
+    return implementation_->start();
+}
+
+void caller_server::stop_accepting()
+{
+    implementation_->stop_accepting();
+}
+
+int caller_server::open_requests() const
+{
+    return implementation_->open_requests();
+}
+
+} // namespace pollenhall
--- /dev/null
+++ b/src/pollenhalld/caller_server.hpp
@@ -0,0 +1,39 @@
+// The HTTP port: calls from callers and from the upstream, announcements of
+// the upstream, health and metrics. docs/http-contract.md describes it.
+
+#pragma once
+
+#include "control_plane.hpp"
+#include "traffic_plane.hpp"
+
+#include <absl/status/status.h>
+
+#include <memory>
+
+namespace pollenhall
+{
+
+/// The server.
+class caller_server
+{
+public:
+    caller_server(node_settings const& settings, traffic_plane& traffic,
+                  control_plane& control, view_holder const& view);
+    ~caller_server();
+    caller_server(caller_server const&) = delete;
+    caller_server& operator=(caller_server const&) = delete;
+
+    /// Binds the port and starts to serve.
+    absl::Status start();
+    /// Requests whose answers are not written yet.
+    [[nodiscard]] int open_requests() const;
+    /// Stops accepting connections. Idle ones stay open until the process
+    /// ends, since each holds a thread until its caller uses or closes it.
+    void stop_accepting();
+
+private:
+    class implementation;
+    std::unique_ptr<implementation> implementation_;
+};
+
+} // namespace pollenhall
--- /dev/null
+++ b/src/pollenhalld/home_service.cpp
@@ -0,0 +1,323 @@
+// Implements the home of idempotency keys.
+
+#include "home_service.hpp"
+
+#include <pollenhall/io/log_event.hpp>
+
+#include <variant>
+
+namespace pollenhall
+{
+namespace
+{
+
+// Lead of clocks that homes accept; see `key_ledger_options`.
+constexpr milliseconds max_clock_lead = key_ledger_options{}.max_clock_lead;
+constexpr milliseconds retry_soon{1'000};
+
+std::size_t size_of(call_result const& result)
+{
+    std::size_t size = result.body.size();
+    for (auto const& header : result.headers)
+        size += header.name.size() + header.value.size();
+    return size;
+}
+
+// Overloads for std::visit.
+template <class... Functions>
+struct overloaded : Functions...
+{
+    using Functions::operator()...;
+};
+template <class... Functions>
+overloaded(Functions...) -> overloaded<Functions...>;
+
+} // namespace
+
+home_service::home_service(traffic_core& core, retry_ratio& ratio,
+                           try_sender spread)
+    : core_(core), ratio_(ratio), spread_(std::move(spread)),
+      started_(wall_now())
+{
+}
+
+home_keeper& home_service::keeper(service_name const& service)
+{
+    auto const found = keepers_.find(service);
+    if (found != keepers_.end())
+        return found->second;
+    auto const view = core_.view.get();
+    roster_member const self{.node = view->self.node, .boot = view->self.boot};
+    return keepers_.emplace(service, home_keeper(service, self)).first->second;
+}
+
+void home_service::refresh()
+{
+    auto const view = core_.view.get();
+    for (auto const& [service, history] : *view->rosters)
+    {
+        auto& item = keeper(service);
+        item.on_history(history);
+        note_departures(item, *view);
+        ask_for_promises(item, *view);
+    }
+    ledger_.expire(wall_now());
+}
+
+// A member is certainly gone if it said goodbye, if a later process has its
+// name, or if it is held for dead and nothing listens at its endpoint.
+void home_service::note_departures(home_keeper& item, node_view const& view)
+{
+    auto const* const latest = item.history().latest();
+    if (latest == nullptr)
+        return;
+    auto const check = [&](roster_member const& member)
+    {
+        auto const peer = view.peers.find(member.node);
+        if (peer == view.peers.end())
+            return;
+        auto const& info = peer->second;
+        bool const said_goodbye =
+            info.boot == member.boot && info.life == peer_life::left;
+        bool const nothing_listens = info.boot == member.boot &&
+                                     info.life == peer_life::dead &&
+                                     refused_.contains(info.endpoint);
+        if (info.boot > member.boot || said_goodbye || nothing_listens)
+            item.on_gone(member);
+    };
+    for (auto const& member : latest->members)
+        check(member);
+    if (auto const* const previous = item.history().before(latest->number))
+    {
+        for (auto const& member : previous->members)
+            check(member);
+    }
+}
+
+void home_service::ask_for_promises(home_keeper& item, node_view const& view)
+{
+    for (auto const& member : item.to_ask())
+    {
+        auto const& latest = *item.history().latest();
+        wire::seal_request request;
+        request.service_name = item.service().value();
+        request.epoch = latest.number.value();
+        request.start_ms = latest.start.time_since_epoch().count();
+        if (member.node == view.self.node)
+        {
+            on_sealed(on_seal(request));
+            continue;
+        }
+        auto const peer = view.peers.find(member.node);
+        if (peer == view.peers.end())
+            continue;
+        wire::frame frame;
+        frame.__set_seal(request);
+        core_.links->post(peer->second.endpoint, frame);
+    }
+}
+
+wire::seal_answer home_service::on_seal(wire::seal_request const& request)
+{
+    auto& item = keeper(service_name(request.service_name));
+    auto const reply = item.on_seal_request(
+        roster_epoch(request.epoch), wall_time(milliseconds(request.start_ms)),
+        ledger_.latest_issued());
+    wire::seal_answer answer;
+    answer.service_name = request.service_name;
+    answer.epoch = request.epoch;
+    answer.start_ms = request.start_ms;
+    answer.sealed = reply.sealed;
+    answer.latest_accepted_ms =
+        reply.latest_accepted.time_since_epoch().count();
+    answer.node = reply.from.node.value();
+    answer.boot = reply.from.boot.value();
+    return answer;
+}
+
+void home_service::on_sealed(wire::seal_answer const& answer)
+{
+    auto& item = keeper(service_name(answer.service_name));
+    bool const was_active = item.is_latest_active();
+    item.on_seal_reply(
+        {.epoch = roster_epoch(answer.epoch),
+         .start = wall_time(milliseconds(answer.start_ms)),
+         .sealed = answer.sealed,
+         .latest_accepted = wall_time(milliseconds(answer.latest_accepted_ms)),
+         .from = {.node = node_id(answer.node), .boot = boot_id(answer.boot)}});
+    if (!was_active && item.is_latest_active())
+        log_event("roster_active")
+            .add("service", answer.service_name)
+            .add("epoch", answer.epoch);
+}
+
+void home_service::on_refused(peer_endpoint const& endpoint)
+{
+    refused_[endpoint] = wall_now();
+    constexpr std::size_t max_remembered = 4'096;
+    if (refused_.size() > max_remembered)
+        refused_.erase(refused_.begin());
+}
+
+home_lookup home_service::find_home(service_name const& service,
+                                    idempotency_key const& key) const
+{
+    home_lookup result;
+    auto const found = keepers_.find(service);
+    if (found == keepers_.end())
+        return result;
+    auto const* const period = found->second.history().find(key.issued());
+    if (period == nullptr)
+    {
+        // Nobody is home of a key from before the first epoch. A shortened
+        // history no longer tells.
+        result.certainly_not_run = found->second.history().starts_with_first();
+        return result;
+    }
+    result.home = home_of(*period, key);
+    auto const view = core_.view.get();
+    auto const peer = view->peers.find(result.home->node);
+    if (peer == view->peers.end())
+        return result;
+    // The process that was home is gone and nobody took its place. It can
+    // have run only keys that were issued before its end, plus the lead of
+    // clocks.
+    auto const& info = peer->second;
+    if (info.boot > result.home->boot)
+    {
+        auto const successor_start = wall_time(milliseconds(info.boot.value()));
+        result.certainly_not_run =
+            key.issued() > successor_start + max_clock_lead;
+        return result;
+    }
+    auto const refused = refused_.find(info.endpoint);
+    if (info.life == peer_life::dead && refused != refused_.end())
+        result.certainly_not_run =
+            key.issued() > refused->second + max_clock_lead;
+    return result;
+}
+
+call_result home_service::refuse_foreign_key(home_keeper const& item,
+                                             idempotency_key const& key) const
+{
+    auto const* const period = item.history().find(key.issued());
+    bool const was_predecessor =
+        period != nullptr && home_of(*period, key).node == core_.settings.name;
+    // Keys of this node's former process are its own to judge: the process
+    // is gone, so what it cannot have seen did not run.
+    if (was_predecessor && key.issued() > started_ + max_clock_lead)
+        return make_refusal(refusal::key_refused, retry_soon);
+    auto result = make_unknown();
+    result.reason = refusal::home_unreachable;
+    return result;
+}
+
+void home_service::run(forwarded_call call, call_handler handler)
+{
+    auto& item = keeper(call.kind.service);
+    auto const& key = *call.key;
+    switch (item.judge(key))
+    {
+    case home_verdict::accepted:
+        start(std::move(call), std::move(handler));
+        return;
+    case home_verdict::not_active:
+    {
+        auto result = make_refusal(refusal::key_refused, retry_soon);
+        result.returned = call.lent;
+        handler(std::move(result));
+        return;
+    }
+    case home_verdict::not_home:
+        break;
+    }
+    auto result = refuse_foreign_key(item, key);
+    result.returned = call.lent;
+    handler(std::move(result));
+}
+
+void home_service::start(forwarded_call call, call_handler handler)
+{
+    auto const key = *call.key;
+    auto const lent = call.lent;
+    auto const verdict = ledger_.admit(key, call.content, wall_now());
+    auto const answer = [&](call_result result)
+    {
+        result.returned = lent;
+        handler(std::move(result));
+    };
+    std::visit(
+        overloaded{
+            [&](key_may_run)
+            {
+                waiters_[key].push_back(std::move(handler));
+                call.delegated = true;
+                call_plan_options const options{.repeatable = false,
+                                                .may_move = true,
+                                                .deadline = call.deadline};
+                std::make_shared<call_driver>(
+                    core_, std::move(call), options, ratio_, spread_,
+                    [this, key](call_result result)
+                    { on_end(key, std::move(result)); })
+                    ->start();
+            },
+            [&](key_is_running)
+            {
+                waiters_[key].push_back(
+                    [handler = std::move(handler), lent](call_result result)
+                    {
+                        result.returned = lent;
+                        handler(std::move(result));
+                    });
+            },
+            [&](key_completed<call_result> const& completed)
+            { answer(*completed.answer); },
+            [&](key_unknown) { answer(make_unknown()); },
+            [&](key_not_accepted const& refused)
+            {
+                log_event("key_refused", log_level::warning)
+                    .add("key", key.text())
+                    .add("reason", refused.reason);
+                answer(make_refusal(refusal::key_refused));
+            }},
+        verdict);
+}
+
+void home_service::on_end(idempotency_key const& key, call_result result)
+{
+    switch (result.what)
+    {
+    case outcome::completed:
+        ledger_.on_completed(key, std::make_shared<call_result const>(result),
+                             size_of(result));
+        break;
+    case outcome::not_run:
+        ledger_.on_not_run(key);
+        break;
+    case outcome::unknown:
+        ledger_.on_unknown(key);
+        break;
+    }
+    auto node = waiters_.extract(key);
+    if (node.empty())
+        return;
+    for (auto const& handler : node.mapped())
+        handler(result);
+}
+
+std::vector<roster_status> home_service::roster_statuses() const
+{
+    std::vector<roster_status> statuses;
+    for (auto const& [service, item] : keepers_)
+    {
+        auto const* const latest = item.history().latest();
+        if (latest != nullptr)
+            statuses.push_back({.service = service,
+                                .latest = latest->number,
+                                .active = item.is_latest_active(),
+                                .gone = item.gone()});
+    }
+    return statuses;
+}
+
+} // namespace pollenhall
--- /dev/null
+++ b/src/pollenhalld/home_service.hpp
@@ -0,0 +1,83 @@
+// The node's part as home of idempotency keys: keeps the ledger, runs each
+// key once, and takes part in the hand-over between roster epochs.
+
+#pragma once
+
+#include "call_driver.hpp"
+#include "traffic_core.hpp"
+
+#include <pollenhall/home_roster.hpp>
+#include <pollenhall/key_ledger.hpp>
+#include <pollenhall/roster_proposer.hpp>
+
+#include <asio/steady_timer.hpp>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace pollenhall
+{
+
+/// What an entry learns when it looks for the home of a key.
+struct home_lookup
+{
+    /// Absent if no roster covers the key.
+    std::optional<roster_member> home;
+    /// Whether the key certainly did not run and will not.
+    bool certainly_not_run = false;
+};
+
+/// The service. Belongs to the traffic thread.
+class home_service
+{
+public:
+    /// Sends a try to any upstream of the call's service.
+    home_service(traffic_core& core, retry_ratio& ratio, try_sender spread);
+
+    /// Takes in rosters and departures from the current view; call it when
+    /// the view has changed and from time to time.
+    void refresh();
+    /// Notes that nothing listens at an endpoint any more.
+    void on_refused(peer_endpoint const& endpoint);
+
+    /// Finds the home of a key of a service.
+    [[nodiscard]] home_lookup find_home(service_name const& service,
+                                        idempotency_key const& key) const;
+    /// Runs a key that this node should be home of, or answers from the
+    /// ledger. The handler is called once.
+    void run(forwarded_call call, call_handler handler);
+
+    /// Answers a request to seal.
+    wire::seal_answer on_seal(wire::seal_request const& request);
+    void on_sealed(wire::seal_answer const& answer);
+
+    /// What is known of each roster's newest epoch.
+    [[nodiscard]] std::vector<roster_status> roster_statuses() const;
+
+private:
+    using ledger = key_ledger<call_result>;
+
+    home_keeper& keeper(service_name const& service);
+    void note_departures(home_keeper& item, node_view const& view);
+    void ask_for_promises(home_keeper& item, node_view const& view);
+    void start(forwarded_call call, call_handler handler);
+    void on_end(idempotency_key const& key, call_result result);
+    [[nodiscard]] call_result
+    refuse_foreign_key(home_keeper const& item,
+                       idempotency_key const& key) const;
+
+    traffic_core& core_;
+    retry_ratio& ratio_;
+    try_sender spread_;
+    ledger ledger_;
+    std::map<service_name, home_keeper> keepers_;
+    // Callers that wait for a running key.
+    std::map<idempotency_key, std::vector<call_handler>> waiters_;
+    // Endpoints whose host refused a connection lately.
+    std::map<peer_endpoint, wall_time> refused_;
+    wall_time started_;
+};
+
+} // namespace pollenhall
--- /dev/null
+++ b/src/pollenhalld/local_runner.cpp
@@ -0,0 +1,281 @@
+// Implements running calls on the upstream beside this node.
+
+#include "local_runner.hpp"
+
+#include <pollenhall/hashing.hpp>
+#include <pollenhall/io/http_names.hpp>
+#include <pollenhall/io/log_event.hpp>
+
+#include <asio/post.hpp>
+
+#include <algorithm>
+
+namespace pollenhall
+{
+namespace
+{
+
+constexpr milliseconds queue_check_period{5};
+constexpr std::size_t max_idle_connections = 64;
+
+} // namespace
+
+local_runner::local_runner(traffic_core& core, child_canceller cancel_child)
+    : core_(core), cancel_child_(std::move(cancel_child)),
+      client_(std::make_shared<upstream_client>(max_idle_connections)),
+      pool_({.max_threads =
+                 static_cast<std::size_t>(core.settings.upstream_connections)}),
+      check_timer_(core.context)
+{
+    make_queue(concurrency_options{}.initial);
+}
+
+local_runner::~local_runner() = default;
+
+void local_runner::make_queue(int slots)
+{
+    bool const accepting = queue_ && queue_->accepting();
+    dispatch_options options;
+    options.concurrency.max = core_.settings.upstream_connections;
+    options.concurrency.initial = std::min(slots, options.concurrency.max);
+    if (!core_.has_policy())
+    {
+        // The baseline sends everything on at once.
+        options.concurrency.initial = options.concurrency.max;
+        options.concurrency.min = options.concurrency.max;
+        options.admission.target_wait = std::chrono::hours{1};
+        options.max_wait = std::chrono::hours{1};
+        options.class_share.fill(1.0);
+    }
+    queue_ = std::make_unique<dispatch_queue>(options);
+    queue_->set_accepting(accepting);
+}
+
+void local_runner::set_upstream(announced_upstream const& upstream)
+{
+    bool const restarted = upstream.incarnation != upstream_.incarnation ||
+                           upstream.endpoint != upstream_.endpoint;
+    upstream_ = upstream;
+    // What was learned of a former process says nothing of the new one; the
+    // queue is replaced only while no call depends on it.
+    if (restarted && calls_.empty())
+        make_queue(upstream.slots > 0 ? upstream.slots
+                                      : concurrency_options{}.initial);
+}
+
+void local_runner::set_accepting(bool accepting)
+{
+    queue_->set_accepting(accepting);
+}
+
+load_hint local_runner::load() const
+{
+    return {.running = queue_->running(),
+            .queued = queue_->queued(),
+            .limit = queue_->limit(),
+            .admitted_rank = queue_->admitted_rank(),
+            .accepting = queue_->accepting()};
+}
+
+call_number local_runner::run(forwarded_call call, call_handler handler)
+{
+    auto const now = mono_now();
+    auto const number = call_number(next_number_++);
+    queued_call const entry{.number = number,
+                            .rank = rank_of(call),
+                            .member = call.member,
+                            .arrived = now,
+                            .deadline = call.deadline};
+    calls_.emplace(number, local_call{.call = std::move(call),
+                                      .handler = std::move(handler),
+                                      .hop = std::nullopt,
+                                      .exchange = nullptr});
+    if (auto const reason = queue_->offer(entry, now))
+    {
+        // Later, so that the caller has noted the number first.
+        asio::post(core_.context, [this, number, reason = *reason]
+                   { finish_refused(number, reason); });
+        return number;
+    }
+    advance();
+    return number;
+}
+
+void local_runner::advance()
+{
+    auto const now = mono_now();
+    for (auto const& dropped : queue_->take_dropped(now))
+        finish_refused(dropped.number, dropped.reason);
+    for (auto const& call : queue_->take_startable(now))
+        start(call.number);
+    if (queue_->queued() > 0)
+        schedule_check();
+}
+
+void local_runner::schedule_check()
+{
+    if (check_scheduled_)
+        return;
+    check_scheduled_ = true;
+    check_timer_.expires_after(queue_check_period);
+    check_timer_.async_wait(
+        [this](asio::error_code error)
+        {
+            check_scheduled_ = false;
+            if (!error)
+                advance();
+        });
+}
+
+std::vector<http_header>
+local_runner::extra_headers(local_call const& item) const
+{
+    auto const& call = item.call;
+    auto const left =
+        std::chrono::duration_cast<milliseconds>(call.deadline - mono_now());
+    std::vector<http_header> headers{
+        {.name = std::string(http_names::traceparent),
+         .value = format_traceparent(call.trace_id, *item.hop)},
+        {.name = std::string(http_names::tracestate),
+         .value = format_tracestate(*item.hop)},
+        {.name = std::string(http_names::timeout),
+         .value = std::to_string(left.count())}};
+    if (call.key)
+        headers.push_back({.name = std::string(http_names::idempotency_key),
+                           .value = "\"" + call.key->text() + "\""});
+    return headers;
+}
+
+void local_runner::start(call_number number)
+{
+    auto& item = calls_.at(number);
+    running_hop hop;
+    hop.trace_id = item.call.trace_id;
+    hop.member = item.call.member;
+    hop.level = item.call.level;
+    hop.work_done = item.call.work_done;
+    hop.deadline = item.call.deadline;
+    hop.budget = retry_budget(item.call.lent);
+    item.hop = core_.hops.add(std::move(hop));
+    item.exchange = std::make_shared<exchange_handle>();
+    auto task = [this, number, client = client_, call = item.call,
+                 endpoint = upstream_.endpoint, headers = extra_headers(item),
+                 handle = item.exchange]
+    {
+        auto result = client->exchange(endpoint, call, headers, *handle);
+        asio::post(core_.context,
+                   [this, number, result = std::move(result)]() mutable
+                   { finish(number, std::move(result)); });
+    };
+    pool_.run(std::move(task));
+}
+
+retry_count local_runner::end_hop(local_call const& ended)
+{
+    auto const hop = core_.hops.remove(*ended.hop);
+    if (!hop)
+        return retry_count(0);
+    for (auto const child : hop->children)
+        cancel_child_(child);
+    return hop->budget.unspent();
+}
+
+void local_runner::finish(call_number number, exchange_result ended)
+{
+    auto const now = mono_now();
+    auto node = calls_.extract(number);
+    if (node.empty())
+        return;
+    auto& item = node.mapped();
+    bool const measured = ended.result.what == outcome::completed;
+    queue_->on_finished(number, now, measured);
+    note_end(item, ended, now);
+    count_run(item, ended);
+    ended.result.returned = end_hop(item);
+    ended.result.load = load();
+    item.handler(std::move(ended.result));
+    advance();
+}
+
+void local_runner::note_end(local_call const& ended,
+                            exchange_result const& result, mono_time now)
+{
+    if (result.result.reason == refusal::upstream_refused)
+        queue_->on_upstream_shed(now);
+    if (result.unreachable)
+        core_.report_unreachable();
+    if (result.result.what == outcome::completed)
+        core_.guard.on_completed(ended.call.content);
+    if (result.crashed)
+        note_crash(ended);
+}
+
+void local_runner::note_crash(local_call const& ended)
+{
+    // All calls that break in one crash name the same incarnation.
+    auto const crash =
+        crash_id(combine_hashes(hash_text(core_.settings.name.value()),
+                                hash_text(upstream_.incarnation)));
+    std::vector<fingerprint> in_flight{ended.call.content};
+    // Latest start first.
+    for (auto item = calls_.rbegin(); item != calls_.rend(); ++item)
+    {
+        if (item->second.hop)
+            in_flight.push_back(item->second.call.content);
+    }
+    auto cast = core_.guard.on_crash(crash, in_flight, mono_now());
+    if (!cast.empty())
+    {
+        log_event("upstream_crashed", log_level::warning)
+            .add("service", upstream_.service.value())
+            .add("incarnation", upstream_.incarnation)
+            .add("suspects", static_cast<std::int64_t>(cast.size()));
+        core_.share_suspicions(std::move(cast));
+    }
+    core_.report_unreachable();
+}
+
+void local_runner::count_run(local_call const& ended,
+                             exchange_result const& result)
+{
+    if (result.result.what == outcome::not_run)
+        return;
+    auto const view = core_.view.get();
+    auto const* const service =
+        view->declarations->find(ended.call.kind.service);
+    if (service == nullptr)
+        return;
+    auto& row =
+        core_.counts.row({.member = service->owner, .kind = ended.call.kind});
+    ++row.upstream_runs;
+    if (ended.call.member != service->owner)
+        ++row.runs_for_others;
+}
+
+void local_runner::finish_refused(call_number number, refusal reason)
+{
+    auto node = calls_.extract(number);
+    if (node.empty())
+        return;
+    auto result = make_refusal(reason);
+    result.returned = node.mapped().call.lent;
+    result.load = load();
+    node.mapped().handler(std::move(result));
+}
+
+void local_runner::cancel(call_number number)
+{
+    auto const found = calls_.find(number);
+    if (found == calls_.end())
+        return;
+    if (queue_->cancel(number))
+    {
+        finish_refused(number, refusal::cancelled);
+        return;
+    }
+    bool const may_break_off = !found->second.call.key;
+    if (may_break_off && found->second.exchange)
+        found->second.exchange->cancel();
+}
+
+} // namespace pollenhall
--- /dev/null
+++ b/src/pollenhalld/node_queries.cpp
@@ -0,0 +1,50 @@
+// Implements questions to all nodes.
+
+#include "node_queries.hpp"
+
+namespace pollenhall
+{
+
+std::int64_t node_queries::open(std::vector<peer_info> nodes,
+                                milliseconds patience, handler done)
+{
+    auto const id = next_++;
+    query item;
+    for (auto const& node : nodes)
+    {
+        if (node.life == peer_life::alive || node.life == peer_life::suspect)
+            item.missing.insert(node.node);
+    }
+    item.collected.nodes = std::move(nodes);
+    item.done = std::move(done);
+    item.timer = std::make_unique<asio::steady_timer>(context_, patience);
+    item.timer->async_wait(
+        [this, id](asio::error_code error)
+        {
+            if (!error)
+                finish(id);
+        });
+    queries_.emplace(id, std::move(item));
+    return id;
+}
+
+void node_queries::on_answer(std::int64_t id, node_answer answer)
+{
+    auto const found = queries_.find(id);
+    if (found == queries_.end())
+        return;
+    if (found->second.missing.erase(answer.node) == 0)
+        return;
+    found->second.collected.answers.push_back(std::move(answer));
+    if (found->second.missing.empty())
+        finish(id);
+}
+
+void node_queries::finish(std::int64_t id)
+{
+    auto node = queries_.extract(id);
+    if (!node.empty())
+        node.mapped().done(std::move(node.mapped().collected));
+}
+
+} // namespace pollenhall
--- /dev/null
+++ b/src/pollenhalld/operator_server.cpp
@@ -0,0 +1,390 @@
+// Implements the operators' calls on top of the control thread.
+
+#include "operator_server.hpp"
+
+#include <pollenhall/io/log_event.hpp>
+#include <pollenhall/version.hpp>
+
+#include <operator_service.h>
+
+#include <algorithm>
+#include <future>
+#include <thread>
+
+#include <thrift/protocol/TBinaryProtocol.h>
+#include <thrift/server/TThreadedServer.h>
+#include <thrift/transport/TBufferTransports.h>
+#include <thrift/transport/TServerSocket.h>
+
+namespace pollenhall
+{
+namespace
+{
+
+using apache::thrift::protocol::TBinaryProtocolFactory;
+using apache::thrift::server::TThreadedServer;
+using apache::thrift::transport::TBufferedTransportFactory;
+using apache::thrift::transport::TServerSocket;
+
+constexpr milliseconds query_patience{800};
+constexpr int max_concurrent_operators = 16;
+constexpr std::size_t max_actor_bytes = 128;
+constexpr std::size_t max_apply_id_bytes = 64;
+
+std::vector<declaration_file>
+from_rpc(std::vector<rpc::document> const& documents)
+{
+    std::vector<declaration_file> files;
+    for (auto const& document : documents)
+        files.push_back({.path = document.path, .text = document.text});
+    return files;
+}
+
+std::vector<rpc::finding> to_rpc(std::vector<finding> const& findings)
+{
+    std::vector<rpc::finding> result;
+    for (auto const& item : findings)
+    {
+        rpc::finding converted;
+        converted.path = item.path;
+        converted.line = item.line;
+        converted.message = item.message;
+        result.push_back(std::move(converted));
+    }
+    return result;
+}
+
+std::string text_at(std::vector<declaration_file> const& files,
+                    std::string const& path)
+{
+    for (auto const& file : files)
+    {
+        if (file.path == path)
+            return file.text;
+    }
+    return {};
+}
+
+std::vector<rpc::document_change>
+describe_changes(std::vector<declaration_file> const& before,
+                 std::vector<declaration_file> const& after)
+{
+    std::vector<rpc::document_change> changes;
+    for (auto const& document : changed_documents(before, after, generation(1)))
+    {
+        rpc::document_change change;
+        change.path = document.path;
+        change.before = text_at(before, document.path);
+        change.after = document.text.value_or("");
+        bool const existed = std::any_of(
+            before.begin(), before.end(),
+            [&](auto const& file) { return file.path == document.path; });
+        if (!document.text)
+            change.kind = rpc::change_kind::removed;
+        else
+            change.kind =
+                existed ? rpc::change_kind::changed : rpc::change_kind::added;
+        changes.push_back(std::move(change));
+    }
+    return changes;
+}
+
+rpc::apply_result::type to_rpc(write_outcome what)
+{
+    switch (what)
+    {
+    case write_outcome::accepted:
+        return rpc::apply_result::accepted;
+    case write_outcome::unchanged:
+        return rpc::apply_result::unchanged;
+    case write_outcome::conflict:
+        return rpc::apply_result::conflict;
+    case write_outcome::not_accepted:
+        return rpc::apply_result::not_accepted;
+    case write_outcome::too_large:
+        return rpc::apply_result::invalid;
+    case write_outcome::not_known:
+        break;
+    }
+    return rpc::apply_result::not_known;
+}
+
+rpc::apply_reply to_rpc(apply_report const& report)
+{
+    rpc::apply_reply reply;
+    reply.member = report.member.value();
+    reply.findings = to_rpc(report.findings);
+    reply.message = report.written.message;
+    reply.generation = report.written.current.newest.value();
+    if (!report.findings.empty())
+    {
+        reply.result = rpc::apply_result::invalid;
+        return reply;
+    }
+    reply.result = to_rpc(report.written.what);
+    if (report.written.what == write_outcome::conflict)
+    {
+        document_book now;
+        now.merge(report.written.current);
+        reply.others_actor = report.written.current.actor;
+        reply.others_changes = describe_changes(
+            report.before, now.files(report.written.current.space));
+    }
+    return reply;
+}
+
+[[noreturn]] void throw_error(std::string message)
+{
+    rpc::operator_error error;
+    error.message = std::move(message);
+    throw error;
+}
+
+rpc::board_line to_rpc(kind_ref const& kind, board_counts const& counts)
+{
+    rpc::board_line line;
+    line.service_name = kind.service.value();
+    line.kind = kind.kind.value();
+    line.offered = counts.offered;
+    line.completed_in_time = counts.completed_in_time;
+    line.completed_late = counts.completed_late;
+    line.not_run = counts.not_run;
+    line.unknown = counts.unknown;
+    line.retries = counts.retries;
+    line.shed = counts.shed;
+    line.upstream_runs = counts.upstream_runs;
+    line.runs_for_others = counts.runs_for_others;
+    return line;
+}
+
+// Serves the calls; used by several threads at once.
+class operator_handler : public rpc::operator_serviceIf
+{
+public:
+    operator_handler(node_settings const& settings, node_charts const& charts,
+                     control_plane& control, view_holder const& view)
+        : settings_(settings), charts_(charts), control_(control), view_(view)
+    {
+    }
+
+    void check(rpc::check_reply& reply,
+               std::vector<rpc::document> const& documents) override
+    {
+        reply.findings = to_rpc(control_.check(from_rpc(documents)).second);
+    }
+
+    void diff(rpc::diff_reply& reply,
+              std::vector<rpc::document> const& documents) override
+    {
+        auto const files = from_rpc(documents);
+        auto const [member, findings] = control_.check(files);
+        reply.member = member.value();
+        reply.findings = to_rpc(findings);
+        reply.base_generation = 0;
+        if (!findings.empty())
+            return;
+        auto const space = std::string(member_space_prefix) + member.value();
+        auto const current = control_.in_force(space);
+        document_book book;
+        book.merge(current);
+        reply.base_generation = current.newest.value();
+        reply.changes = describe_changes(book.files(space), files);
+    }
+
+    void apply(rpc::apply_reply& reply,
+               rpc::apply_request const& request) override
+    {
+        if (request.apply_id.empty() ||
+            request.apply_id.size() > max_apply_id_bytes)
+            throw_error("apply_id must have 1 to 64 bytes");
+        if (request.actor.size() > max_actor_bytes)
+            throw_error("actor must have up to 128 bytes");
+        apply_order order{.documents = from_rpc(request.documents),
+                          .base = std::nullopt,
+                          .apply_id = request.apply_id,
+                          .actor = request.actor};
+        if (request.base_generation >= 0)
+            order.base = generation(request.base_generation);
+        auto const report = control_.apply(std::move(order));
+        reply = to_rpc(report);
+        log_event("apply")
+            .add("member", report.member.value())
+            .add("apply_id", request.apply_id)
+            .add("actor", request.actor)
+            .add("result", rpc::_apply_result_VALUES_TO_NAMES.at(
+                               static_cast<int>(reply.result)))
+            .add("generation", reply.generation);
+    }
+
+    void settle(rpc::apply_reply& reply, std::string const& member,
+                std::string const& apply_id) override
+    {
+        reply = to_rpc(control_.settle(member_name(member), apply_id));
+    }
+
+    void status(rpc::status_reply& reply) override
+    {
+        auto const own = control_.snapshot();
+        auto const all = control_.ask_all_nodes(query_patience);
+        reply.node = settings_.name.value();
+        reply.version = program_version;
+        reply.store_reachable = own.store_reachable;
+        for (auto const& digest : view_.get()->spaces)
+            reply.generations[digest.space] = digest.newest.value();
+        for (auto const& peer : all.nodes)
+            reply.nodes.push_back(describe_node(peer, all));
+    }
+
+    void drain() override
+    {
+        if (!control_.fire_upstream_event("drain"))
+            throw_error("the upstream's state does not allow draining");
+    }
+
+    void undrain() override
+    {
+        if (!control_.fire_upstream_event("undrain"))
+            throw_error("the upstream is not draining");
+    }
+
+    void report(rpc::report_reply& reply, std::string const& member) override
+    {
+        auto const view = view_.get();
+        auto const& members = view->declarations->members();
+        bool const known = std::any_of(members.begin(), members.end(),
+                                       [&](auto const& item)
+                                       { return item.name.value() == member; });
+        if (!known)
+            throw_error("member '" + member + "' has no declarations");
+        auto const all = control_.ask_all_nodes(query_patience);
+        board sum;
+        for (auto const& answer : all.answers)
+            sum.add(answer.counts);
+        reply.member = member;
+        reply.nodes_heard = static_cast<int>(all.answers.size());
+        reply.nodes_known = static_cast<int>(
+            std::count_if(all.nodes.begin(), all.nodes.end(),
+                          [](peer_info const& peer)
+                          { return peer.life != peer_life::left; }));
+        for (auto const& [key, counts] : sum.rows())
+        {
+            if (key.member.value() == member)
+                reply.lines.push_back(to_rpc(key.kind, counts));
+        }
+    }
+
+private:
+    rpc::node_status describe_node(peer_info const& peer,
+                                   platform_answers const& all) const
+    {
+        rpc::node_status status;
+        status.node = peer.node.value();
+        status.zone = peer.zone.value();
+        status.life = to_string(peer.life);
+        status.service_name = peer.service.value();
+        status.upstream_state = charts_.upstream.name(peer.upstream_state);
+        status.heard = false;
+        for (auto const& answer : all.answers)
+        {
+            if (answer.node != peer.node)
+                continue;
+            status.heard = true;
+            for (auto const& digest : answer.in_force)
+                status.generations[digest.space] = digest.newest.value();
+        }
+        return status;
+    }
+
+    node_settings const& settings_;
+    node_charts const& charts_;
+    control_plane& control_;
+    view_holder const& view_;
+};
+
+} // namespace
+
+class operator_server::implementation
+{
+public:
+    implementation(node_settings const& settings, node_charts const& charts,
+                   control_plane& control, view_holder const& view)
+        : socket_(std::make_shared<TServerSocket>(settings.address,
+                                                  settings.operator_port)),
+          server_(std::make_shared<rpc::operator_serviceProcessor>(
+                      std::make_shared<operator_handler>(settings, charts,
+                                                         control, view)),
+                  socket_, std::make_shared<TBufferedTransportFactory>(),
+                  std::make_shared<TBinaryProtocolFactory>())
+    {
+        server_.setConcurrentClientLimit(max_concurrent_operators);
+    }
+
+    absl::Status start()
+    {
+        auto const watcher = std::make_shared<start_watcher>();
+        server_.setServerEventHandler(watcher);
+        auto started = watcher->started.get_future();
+        thread_ = std::thread([this, watcher] { serve(*watcher); });
+        return started.get();
+    }
+
+    void stop()
+    {
+        if (!thread_.joinable())
+            return;
+        server_.stop();
+        thread_.join();
+    }
+
+private:
+    // Learns when the server listens, or that it cannot.
+    struct start_watcher : apache::thrift::server::TServerEventHandler
+    {
+        void preServe() override { started.set_value(absl::OkStatus()); }
+
+        std::promise<absl::Status> started;
+    };
+
+    void serve(start_watcher& watcher)
+    {
+        try
+        {
+            server_.serve();
+        }
+        catch (std::exception const& error)
+        {
+            watcher.started.set_value(absl::UnavailableError(
+                std::string("cannot listen for operators: ") + error.what()));
+        }
+    }
+
+    std::shared_ptr<TServerSocket> socket_;
+    TThreadedServer server_;
+    std::thread thread_;
+};
+
+operator_server::operator_server(node_settings const& settings,
+                                 node_charts const& charts,
+                                 control_plane& control,
+                                 view_holder const& view)
+    : implementation_(
+          std::make_unique<implementation>(settings, charts, control, view))
+{
+}
+
+operator_server::~operator_server()
+{
+    stop();
+}
+
+absl::Status operator_server::start()
+{
+    return implementation_->start();
+}
+
+void operator_server::stop()
+{
+    implementation_->stop();
+}
+
+} // namespace pollenhall
--- /dev/null
+++ b/src/pollenhalld/store_agent.cpp
@@ -0,0 +1,183 @@
+// Implements the threads that talk to the store.
+
+#include "store_agent.hpp"
+
+#include <pollenhall/io/clocks.hpp>
+#include <pollenhall/io/log_event.hpp>
+#include <pollenhall/retry_budget.hpp>
+
+#include <algorithm>
+
+namespace pollenhall
+{
+namespace
+{
+
+// A watch that stays silent this long is renewed, since it may have been
+// lost without notice; the read before it finds what was missed.
+constexpr milliseconds watch_renewal{20'000};
+constexpr milliseconds shortest_watch{1'000};
+constexpr backoff_options reconnect_backoff{.base = milliseconds{500},
+                                            .cap = milliseconds{10'000}};
+
+} // namespace
+
+store_agent::store_agent(etcd_store_options options, std::string prefix,
+                         std::uint64_t seed, store_events events)
+    : prefix_(std::move(prefix)), events_(std::move(events)),
+      job_store_(options), watch_store_(options), random_(seed)
+{
+}
+
+store_agent::~store_agent()
+{
+    stop();
+}
+
+void store_agent::start()
+{
+    job_thread_ = std::thread([this] { job_loop(); });
+    watch_thread_ = std::thread([this] { watch_loop(); });
+}
+
+void store_agent::stop()
+{
+    {
+        std::lock_guard const lock(mutex_);
+        stopping_ = true;
+    }
+    wake_.notify_all();
+    watch_store_.interrupt();
+    if (job_thread_.joinable())
+        job_thread_.join();
+    if (watch_thread_.joinable())
+        watch_thread_.join();
+}
+
+void store_agent::set_watching(bool watching)
+{
+    {
+        std::lock_guard const lock(mutex_);
+        watching_ = watching;
+    }
+    wake_.notify_all();
+}
+
+void store_agent::submit(job work)
+{
+    {
+        std::lock_guard const lock(mutex_);
+        jobs_.push_back(std::move(work));
+    }
+    wake_.notify_all();
+}
+
+void store_agent::job_loop()
+{
+    std::unique_lock lock(mutex_);
+    while (true)
+    {
+        wake_.wait(lock, [this] { return stopping_ || !jobs_.empty(); });
+        if (jobs_.empty())
+            return;
+        auto work = std::move(jobs_.front());
+        jobs_.pop_front();
+        lock.unlock();
+        work(job_store_);
+        lock.lock();
+    }
+}
+
+bool store_agent::wait_for_role()
+{
+    std::unique_lock lock(mutex_);
+    wake_.wait(lock, [this] { return stopping_ || watching_; });
+    return !stopping_;
+}
+
+void store_agent::watch_loop()
+{
+    while (wait_for_role())
+        watch_once();
+}
+
+void store_agent::watch_once()
+{
+    auto const revision = read_all();
+    if (!revision.ok())
+    {
+        reachable_ = false;
+        pause_after_failure();
+        return;
+    }
+    reachable_ = true;
+    failures_ = 0;
+    auto const started = mono_now();
+    static_cast<void>(watch_store_.watch(
+        spaces_prefix(prefix_), store_revision(revision->value() + 1),
+        watch_renewal,
+        [this](std::vector<std::string> const& keys, store_revision)
+        { return read_changed(keys) && !stopping_; }));
+    // Whatever ended it, a store that ends watches at once is not to be
+    // asked at once again.
+    if (mono_now() < started + shortest_watch)
+        pause_after_failure();
+}
+
+absl::StatusOr<store_revision> store_agent::read_all()
+{
+    auto const view = watch_store_.read_prefix(spaces_prefix(prefix_));
+    if (!view.ok())
+        return view.status();
+    publish(*view);
+    return view->revision;
+}
+
+bool store_agent::read_changed(std::vector<std::string> const& keys)
+{
+    std::set<std::string> names;
+    for (auto const& key : keys)
+        names.emplace(space_of_key(prefix_, key));
+    for (auto const& name : names)
+    {
+        if (name.empty())
+            continue;
+        auto const view = watch_store_.read_prefix(space_prefix(prefix_, name));
+        reachable_ = view.ok();
+        if (!view.ok())
+            return false;
+        publish(*view);
+    }
+    return true;
+}
+
+void store_agent::publish(store_view const& view)
+{
+    std::vector<stored_value> values;
+    for (auto const& record : view.records)
+        values.push_back({.key = record.key,
+                          .value = record.value,
+                          .modified = record.modified.value()});
+    std::vector<space_update> updates;
+    for (auto& space : parse_spaces(prefix_, values))
+    {
+        if (space.ok())
+            updates.push_back(std::move(space->update));
+        else
+            log_event("stored_space_refused", log_level::error)
+                .add("reason", std::string(space.status().message()));
+    }
+    events_.on_spaces(std::move(updates));
+}
+
+void store_agent::pause_after_failure()
+{
+    ++failures_;
+    auto const time =
+        std::max(milliseconds{100},
+                 retry_backoff(failures_, random_(), reconnect_backoff));
+    std::unique_lock lock(mutex_);
+    wake_.wait_for(lock, time, [this] { return stopping_.load(); });
+}
+
+} // namespace pollenhall
--- /dev/null
+++ b/src/pollenhalld/traffic_core.hpp
@@ -0,0 +1,53 @@
+// What the parts of the traffic thread share. Everything in here belongs to
+// that thread, except the view, which any thread may read.
+
+#pragma once
+
+#include "node_view.hpp"
+
+#include <pollenhall/board.hpp>
+#include <pollenhall/crash_guard.hpp>
+#include <pollenhall/hop_registry.hpp>
+#include <pollenhall/io/clocks.hpp>
+#include <pollenhall/io/node_settings.hpp>
+#include <pollenhall/io/peer_links.hpp>
+
+#include <asio/io_context.hpp>
+
+#include <functional>
+#include <memory>
+#include <random>
+
+namespace pollenhall
+{
+
+/// Shared state of the traffic thread.
+struct traffic_core
+{
+    traffic_core(asio::io_context& io, node_settings const& node,
+                 view_holder const& views, std::uint64_t seed)
+        : context(io), settings(node), view(views), hops(seed), random(seed)
+    {
+    }
+
+    asio::io_context& context;
+    node_settings const& settings;
+    view_holder const& view;
+    hop_registry hops;
+    crash_guard guard;
+    board counts;
+    std::mt19937_64 random;
+    /// Set once before the thread starts.
+    std::unique_ptr<peer_links> links;
+    /// Tells the control thread of suspicions to share.
+    std::function<void(std::vector<crash_suspicion>)> share_suspicions;
+    /// Tells the control thread that the upstream cannot be reached.
+    std::function<void()> report_unreachable;
+
+    [[nodiscard]] bool has_policy() const
+    {
+        return settings.policy == policy_mode::full;
+    }
+};
+
+} // namespace pollenhall
--- /dev/null
+++ b/src/pollenhalld/traffic_plane.cpp
@@ -0,0 +1,227 @@
+// Implements the traffic thread.
+
+#include "traffic_plane.hpp"
+
+#include <pollenhall/io/log_event.hpp>
+#include <pollenhall/io/wire_codec.hpp>
+
+#include <asio/post.hpp>
+
+namespace pollenhall
+{
+namespace
+{
+constexpr milliseconds tick_period{50};
+} // namespace
+
+traffic_plane::traffic_plane(node_settings const& settings,
+                             view_holder const& view, boot_id boot,
+                             traffic_events events)
+    : settings_(settings), events_(std::move(events)),
+      work_(asio::make_work_guard(context_)),
+      core_(context_, settings, view,
+            std::hash<node_id>{}(settings.name) ^
+                static_cast<std::uint64_t>(boot.value()) << 20U),
+      tick_timer_(context_)
+{
+    core_.share_suspicions = events_.on_suspicions;
+    core_.report_unreachable = events_.on_upstream_unreachable;
+    peer_links_options options;
+    options.listen = {.address = settings.address, .port = settings.peer_port};
+    options.node = settings.name;
+    options.boot = boot;
+    options.zone = settings.zone;
+    core_.links = std::make_unique<peer_links>(
+        context_, options,
+        peer_links::handlers{
+            .on_frame = [this](link_id link, wire::frame&& frame)
+            { on_frame(link, std::move(frame)); },
+            .on_closed = [this](link_id link) { on_link_closed(link); },
+            .on_refused = [this](peer_endpoint const& endpoint)
+            { entry_->home().on_refused(endpoint); }});
+    entry_ = std::make_unique<call_entry>(core_);
+}
+
+traffic_plane::~traffic_plane()
+{
+    stop();
+}
+
+absl::Status traffic_plane::start()
+{
+    if (auto const status = core_.links->listen(); !status.ok())
+        return status;
+    schedule_tick();
+    thread_ = std::thread([this] { context_.run(); });
+    return absl::OkStatus();
+}
+
+void traffic_plane::stop()
+{
+    if (!thread_.joinable())
+        return;
+    asio::post(context_,
+               [this]
+               {
+                   core_.links->close();
+                   tick_timer_.cancel();
+                   work_.reset();
+                   context_.stop();
+               });
+    thread_.join();
+}
+
+void traffic_plane::schedule_tick()
+{
+    tick_timer_.expires_after(tick_period);
+    tick_timer_.async_wait(
+        [this](asio::error_code error)
+        {
+            if (error)
+                return;
+            tick();
+            schedule_tick();
+        });
+}
+
+void traffic_plane::tick()
+{
+    idle_ =
+        entry_->is_idle() && peer_calls_.empty() && core_.links->unsent() == 0;
+    entry_->home().refresh();
+    auto statuses = entry_->home().roster_statuses();
+    if (statuses != told_statuses_)
+    {
+        told_statuses_ = statuses;
+        events_.on_roster_status(std::move(statuses));
+    }
+}
+
+void traffic_plane::serve(caller_request request, answer_handler handler)
+{
+    idle_ = false;
+    asio::post(context_, [this, request = std::move(request),
+                          handler = std::move(handler)]() mutable
+               { entry_->serve(std::move(request), std::move(handler)); });
+}
+
+void traffic_plane::set_upstream(announced_upstream upstream)
+{
+    asio::post(context_, [this, upstream = std::move(upstream)]
+               { entry_->runner().set_upstream(upstream); });
+}
+
+void traffic_plane::set_accepting(bool accepting)
+{
+    asio::post(context_, [this, accepting]
+               { entry_->runner().set_accepting(accepting); });
+}
+
+void traffic_plane::add_suspicion(crash_suspicion suspicion)
+{
+    asio::post(context_,
+               [this, suspicion] { core_.guard.add(suspicion, mono_now()); });
+}
+
+void traffic_plane::refresh()
+{
+    asio::post(context_, [this] { entry_->home().refresh(); });
+}
+
+void traffic_plane::post(peer_endpoint to, wire::frame frame)
+{
+    asio::post(context_, [this, to = std::move(to), frame = std::move(frame)]
+               { core_.links->post(to, frame); });
+}
+
+void traffic_plane::reply(link_id link, wire::frame frame)
+{
+    asio::post(context_, [this, link, frame = std::move(frame)]
+               { core_.links->reply(link, frame); });
+}
+
+void traffic_plane::reply_to_all(wire::frame frame)
+{
+    asio::post(context_, [this, frame = std::move(frame)]
+               { core_.links->reply_to_all(frame); });
+}
+
+void traffic_plane::snapshot(std::function<void(traffic_snapshot)> handler)
+{
+    asio::post(context_,
+               [this, handler = std::move(handler)]
+               {
+                   handler({.counts = core_.counts,
+                            .load = entry_->runner().load(),
+                            .links = core_.links->counters()});
+               });
+}
+
+void traffic_plane::on_frame(link_id link, wire::frame&& frame)
+{
+    auto const& set = frame.__isset;
+    if (set.request)
+        on_request(link, std::move(frame.request));
+    else if (set.cancel)
+        on_cancel(link, frame.cancel);
+    else if (set.seal)
+    {
+        wire::frame answer;
+        answer.__set_sealed(entry_->home().on_seal(frame.seal));
+        core_.links->reply(link, answer);
+    }
+    else if (set.sealed)
+        entry_->home().on_sealed(frame.sealed);
+    else
+        events_.on_control_frame(link, std::move(frame));
+}
+
+void traffic_plane::on_request(link_id link, wire::call_request&& request)
+{
+    auto const id = request.call_id;
+    auto call = from_wire(std::move(request), mono_now());
+    auto const answer = [this, link, id](call_result const& result)
+    {
+        peer_calls_.erase({link, id});
+        wire::frame frame;
+        frame.__set_answer(to_wire(result, correlation_id(id)));
+        core_.links->reply(link, frame);
+    };
+    if (!call.ok())
+    {
+        log_event("peer_call_refused", log_level::warning)
+            .add("reason", std::string(call.status().message()));
+        answer(make_refusal(refusal::key_refused));
+        return;
+    }
+    idle_ = false;
+    peer_calls_[{link, id}] = nullptr;
+    auto canceller = entry_->serve_peer(std::move(*call), answer);
+    auto const found = peer_calls_.find({link, id});
+    if (found != peer_calls_.end())
+        found->second = std::move(canceller);
+}
+
+void traffic_plane::on_cancel(link_id link, wire::call_cancel const& cancel)
+{
+    auto node = peer_calls_.extract({link, cancel.call_id});
+    if (!node.empty() && node.mapped())
+        node.mapped()();
+}
+
+void traffic_plane::on_link_closed(link_id link)
+{
+    // Whoever sent these calls no longer waits for them.
+    std::vector<try_canceller> cancellers;
+    auto item = peer_calls_.lower_bound({link, 0});
+    while (item != peer_calls_.end() && item->first.first == link)
+    {
+        if (item->second)
+            cancellers.push_back(std::move(item->second));
+        item = peer_calls_.erase(item);
+    }
+    for (auto const& cancel : cancellers)
+        cancel();
+}
+
+} // namespace pollenhall
--- /dev/null
+++ b/src/standins/store_standin.cpp
@@ -0,0 +1,429 @@
+// Stand-in for the platform's store: the part of etcd's v3 JSON gateway that
+// the daemon uses, in memory, with faults that tests switch on.
+//
+// POST /standin/fault takes a JSON object with any of: down (bool), slow_ms,
+// lose_answers (number of transactions whose answer is lost after they took
+// effect), stale_reads (bool), silent_watches (bool), expire_leases (bool).
+// GET /standin/counters returns the calls served by path.
+
+#include <pollenhall/io/clocks.hpp>
+#include <pollenhall/io/connection_queue.hpp>
+
+#include <boost/program_options.hpp>
+
+#include <absl/strings/escaping.h>
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+#include <atomic>
+#include <condition_variable>
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <map>
+#include <mutex>
+#include <thread>
+
+namespace
+{
+
+using nlohmann::json;
+using namespace pollenhall;
+
+constexpr std::size_t max_connections = 2'048;
+constexpr int service_unavailable = 503;
+
+struct stored
+{
+    std::string value;
+    std::int64_t modified = 0;
+    std::int64_t lease = 0;
+};
+
+struct lease
+{
+    seconds time_to_live{0};
+    mono_time expires{};
+};
+
+struct faults
+{
+    bool down = false;
+    int slow_ms = 0;
+    int lose_answers = 0;
+    bool stale_reads = false;
+    bool silent_watches = false;
+};
+
+std::string encode(std::string const& text)
+{
+    return absl::Base64Escape(text);
+}
+
+std::string decode(json const& object, char const* name)
+{
+    std::string bytes;
+    absl::Base64Unescape(object.value(name, ""), &bytes);
+    return bytes;
+}
+
+std::int64_t number(json const& object, char const* name)
+{
+    auto const found = object.find(name);
+    if (found == object.end())
+        return 0;
+    return found->is_string() ? std::stoll(found->get<std::string>())
+                              : found->get<std::int64_t>();
+}
+
+/// The keys, their history and the leases.
+class memory_store
+{
+public:
+    json range(json const& request)
+    {
+        std::lock_guard const lock(mutex_);
+        expire_leases();
+        auto const& source = fault_.stale_reads ? stale_ : data_;
+        auto const from = decode(request, "key");
+        auto const end = decode(request, "range_end");
+        json records = json::array();
+        for (auto item = source.lower_bound(from);
+             item != source.end() && item->first < end; ++item)
+            records.push_back(record(*item));
+        json answer{{"header", header()}};
+        if (!records.empty())
+            answer["kvs"] = records;
+        return answer;
+    }
+
+    json transact(json const& request, bool& lose_answer)
+    {
+        std::lock_guard const lock(mutex_);
+        expire_leases();
+        bool holds = true;
+        for (auto const& item : request.value("compare", json::array()))
+        {
+            auto const found = data_.find(decode(item, "key"));
+            auto const modified =
+                found == data_.end() ? 0 : found->second.modified;
+            holds = holds && modified == number(item, "mod_revision");
+        }
+        if (holds)
+            apply(request.value("success", json::array()));
+        lose_answer = fault_.lose_answers > 0;
+        fault_.lose_answers -= lose_answer ? 1 : 0;
+        json answer{{"header", header()}};
+        if (holds)
+            answer["succeeded"] = true;
+        return answer;
+    }
+
+    json grant(json const& request)
+    {
+        std::lock_guard const lock(mutex_);
+        auto const id = ++next_lease_;
+        seconds const time(number(request, "TTL"));
+        leases_[id] = {.time_to_live = time, .expires = mono_now() + time};
+        return {{"header", header()},
+                {"ID", std::to_string(id)},
+                {"TTL", std::to_string(time.count())}};
+    }
+
+    json keep_alive(json const& request)
+    {
+        std::lock_guard const lock(mutex_);
+        expire_leases();
+        json result{{"header", header()}, {"ID", request.value("ID", "")}};
+        auto const found = leases_.find(number(request, "ID"));
+        if (found != leases_.end())
+        {
+            found->second.expires = mono_now() + found->second.time_to_live;
+            result["TTL"] = std::to_string(found->second.time_to_live.count());
+        }
+        return {{"result", result}};
+    }
+
+    /// Waits for changes from `revision` on; returns their keys and moves
+    /// `revision` behind them. Empty after a while without any.
+    std::vector<std::string> wait_for_changes(std::int64_t& revision,
+                                              std::string const& from,
+                                              std::string const& end)
+    {
+        constexpr milliseconds poll{200};
+        std::unique_lock lock(mutex_);
+        changed_.wait_for(lock, poll, [&] { return revision_ >= revision; });
+        std::vector<std::string> keys;
+        if (fault_.silent_watches || fault_.down)
+            return keys;
+        for (auto const& [key, item] : data_)
+        {
+            if (item.modified >= revision && key >= from && key < end)
+                keys.push_back(key);
+        }
+        revision = revision_ + 1;
+        return keys;
+    }
+
+    void set_faults(json const& wanted)
+    {
+        std::lock_guard const lock(mutex_);
+        fault_.down = wanted.value("down", fault_.down);
+        fault_.slow_ms = wanted.value("slow_ms", fault_.slow_ms);
+        fault_.lose_answers = wanted.value("lose_answers", fault_.lose_answers);
+        fault_.silent_watches =
+            wanted.value("silent_watches", fault_.silent_watches);
+        bool const stale = wanted.value("stale_reads", fault_.stale_reads);
+        if (stale && !fault_.stale_reads)
+            stale_ = data_;
+        fault_.stale_reads = stale;
+        if (wanted.value("expire_leases", false))
+        {
+            for (auto& [id, item] : leases_)
+                item.expires = mono_time{};
+        }
+    }
+
+    faults current_faults()
+    {
+        std::lock_guard const lock(mutex_);
+        return fault_;
+    }
+
+    json header_now()
+    {
+        std::lock_guard const lock(mutex_);
+        return header();
+    }
+
+private:
+    [[nodiscard]] json header() const
+    {
+        return {{"revision", std::to_string(revision_)}};
+    }
+
+    static json record(std::pair<std::string const, stored> const& item)
+    {
+        return {{"key", encode(item.first)},
+                {"value", encode(item.second.value)},
+                {"mod_revision", std::to_string(item.second.modified)}};
+    }
+
+    void apply(json const& operations)
+    {
+        ++revision_;
+        for (auto const& operation : operations)
+        {
+            auto const put = operation.value("requestPut", json::object());
+            data_[decode(put, "key")] = {.value = decode(put, "value"),
+                                         .modified = revision_,
+                                         .lease = number(put, "lease")};
+        }
+        changed_.notify_all();
+    }
+
+    void expire_leases()
+    {
+        auto const now = mono_now();
+        std::erase_if(leases_, [&](auto const& item)
+                      { return now >= item.second.expires; });
+        std::erase_if(data_,
+                      [&](auto const& item) {
+                          return item.second.lease != 0 &&
+                                 !leases_.contains(item.second.lease);
+                      });
+    }
+
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    std::map<std::string, stored> data_;
+    std::map<std::string, stored> stale_;
+    std::map<std::int64_t, lease> leases_;
+    std::int64_t revision_ = 1;
+    std::int64_t next_lease_ = 0;
+    faults fault_;
+};
+
+/// Serves the gateway's paths.
+class gateway
+{
+public:
+    gateway()
+    {
+        server_.new_task_queue = []
+        { return new connection_queue(max_connections); };
+        server_.set_tcp_nodelay(true);
+        server_.set_keep_alive_max_count(1'000'000);
+        server_.set_keep_alive_timeout(120);
+        serve("/v3/kv/range",
+              [this](json const& body) { return store_.range(body); });
+        serve("/v3/lease/grant",
+              [this](json const& body) { return store_.grant(body); });
+        serve("/v3/lease/keepalive",
+              [this](json const& body) { return store_.keep_alive(body); });
+        server_.Post("/v3/kv/txn", [this](auto const& request, auto& reply)
+                     { handle_transaction(request, reply); });
+        server_.Post("/v3/watch", [this](auto const& request, auto& reply)
+                     { handle_watch(request, reply); });
+        server_.Post("/standin/fault",
+                     [this](auto const& request, auto& reply)
+                     {
+                         store_.set_faults(json::parse(request.body));
+                         reply.set_content("{}", "application/json");
+                     });
+        server_.Get("/standin/counters",
+                    [this](auto const&, auto& reply)
+                    {
+                        std::lock_guard const lock(mutex_);
+                        reply.set_content(json(calls_).dump(),
+                                          "application/json");
+                    });
+    }
+
+    bool listen(std::string const& address, int port)
+    {
+        return server_.listen(address, port);
+    }
+    void stop()
+    {
+        stopping_ = true;
+        // Threads of idle connections are not waited for.
+        std::quick_exit(0);
+    }
+
+private:
+    // Counts the call and plays the faults; false if it is to fail.
+    bool enter(std::string const& path, httplib::Response& reply)
+    {
+        {
+            std::lock_guard const lock(mutex_);
+            ++calls_[path];
+        }
+        auto const fault = store_.current_faults();
+        if (fault.slow_ms > 0)
+            std::this_thread::sleep_for(milliseconds(fault.slow_ms));
+        if (!fault.down)
+            return true;
+        reply.status = service_unavailable;
+        reply.set_content(R"({"error":"etcdserver: no leader","code":14})",
+                          "application/json");
+        return false;
+    }
+
+    template <class Handler>
+    void serve(char const* path, Handler handler)
+    {
+        server_.Post(path,
+                     [this, path, handler](auto const& request, auto& reply)
+                     {
+                         if (enter(path, reply))
+                             reply.set_content(
+                                 handler(json::parse(request.body)).dump(),
+                                 "application/json");
+                     });
+    }
+
+    void handle_transaction(httplib::Request const& request,
+                            httplib::Response& reply)
+    {
+        if (!enter("/v3/kv/txn", reply))
+            return;
+        bool lose = false;
+        auto const answer = store_.transact(json::parse(request.body), lose);
+        if (!lose)
+        {
+            reply.set_content(answer.dump(), "application/json");
+            return;
+        }
+        // Breaks the connection off in the middle of the answer.
+        reply.set_content_provider(
+            answer.dump().size(), "application/json",
+            [](std::size_t, std::size_t, httplib::DataSink&) { return false; });
+    }
+
+    void handle_watch(httplib::Request const& request, httplib::Response& reply)
+    {
+        if (!enter("/v3/watch", reply))
+            return;
+        auto const create =
+            json::parse(request.body).value("create_request", json::object());
+        auto revision = number(create, "start_revision");
+        auto const from = decode(create, "key");
+        auto const end = decode(create, "range_end");
+        bool first = true;
+        reply.set_chunked_content_provider(
+            "application/json",
+            [this, revision, from, end, first](std::size_t,
+                                               httplib::DataSink& sink) mutable
+            {
+                if (stopping_ || store_.current_faults().down)
+                {
+                    sink.done();
+                    return true;
+                }
+                if (first)
+                {
+                    first = false;
+                    return write(sink, {{"created", true}});
+                }
+                return write_events(
+                    sink, store_.wait_for_changes(revision, from, end));
+            });
+    }
+
+    bool write_events(httplib::DataSink& sink,
+                      std::vector<std::string> const& keys)
+    {
+        if (keys.empty())
+            return sink.is_writable();
+        json events = json::array();
+        for (auto const& key : keys)
+            events.push_back({{"kv", {{"key", encode(key)}}}});
+        return write(sink, {{"events", events}});
+    }
+
+    bool write(httplib::DataSink& sink, json result)
+    {
+        result["header"] = store_.header_now();
+        auto const line = json{{"result", result}}.dump() + "\n";
+        return sink.write(line.data(), line.size());
+    }
+
+    memory_store store_;
+    httplib::Server server_;
+    std::atomic<bool> stopping_{false};
+    std::mutex mutex_;
+    std::map<std::string, int> calls_;
+};
+
+} // namespace
+
+int main(int count, char** values)
+{
+    namespace po = boost::program_options;
+    std::string address;
+    int port = 0;
+    po::options_description options("Options");
+    options.add_options()("address",
+                          po::value(&address)->default_value("127.0.0.1"))(
+        "port", po::value(&port)->required());
+    po::variables_map seen;
+    po::store(po::parse_command_line(count, values, options), seen);
+    po::notify(seen);
+    std::signal(SIGPIPE, SIG_IGN);
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    gateway server;
+    std::thread waiter(
+        [&]
+        {
+            int signal = 0;
+            sigwait(&signals, &signal);
+            server.stop();
+        });
+    bool const listened = server.listen(address, port);
+    std::quick_exit(listened ? 0 : 1);
+}
--- /dev/null
+++ b/src/standins/upstream_standin.cpp
@@ -0,0 +1,379 @@
+// Stand-in for an upstream: takes a time for each request, on a number of
+// slots, calls other services through the node beside it, and remembers what
+// it ran. Announces itself, and withdraws on SIGTERM.
+//
+// The path's first part is the kind. POST /standin/behaviour takes a JSON
+// object with any of: service_ms, crash_on (a text that crashes the process
+// when a body contains it), claim_slots. GET /standin/runs returns what ran.
+
+#include <pollenhall/hashing.hpp>
+#include <pollenhall/idempotency_key.hpp>
+#include <pollenhall/io/clocks.hpp>
+#include <pollenhall/io/connection_queue.hpp>
+
+#include <boost/program_options.hpp>
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+#include <atomic>
+#include <condition_variable>
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <map>
+#include <mutex>
+#include <thread>
+#include <unistd.h>
+
+namespace
+{
+
+using nlohmann::json;
+using namespace pollenhall;
+
+constexpr milliseconds announce_period{500};
+constexpr int bad_gateway = 502;
+constexpr int service_unavailable = 503;
+
+struct standin_options
+{
+    std::string address;
+    int port = 0;
+    std::string node_address;
+    int node_port = 0;
+    std::string service;
+    int slots = 16;
+    int max_waiting = 64;
+    double service_ms = 5;
+    /// Kinds and what each calls: `order=stock/reserve,printshop/card`.
+    std::vector<std::string> calls;
+};
+
+std::vector<std::string> split(std::string const& text, char separator)
+{
+    std::vector<std::string> parts;
+    std::istringstream in(text);
+    for (std::string part; std::getline(in, part, separator);)
+        parts.push_back(part);
+    return parts;
+}
+
+// Key of a nested call: the parent's time of issue, and bits that depend on
+// the parent's key and the place of the call, so that a repeated parent makes
+// the same keys.
+std::string derive_key(std::string const& parent, std::string const& target)
+{
+    auto const key = idempotency_key::parse(parent);
+    if (!key)
+        return {};
+    auto const bits = hash_text(key->text() + target);
+    std::ostringstream out;
+    out << key->text().substr(0, 15) << std::hex << std::setfill('0')
+        << std::setw(3) << (bits & 0xFFFU) << "-8" << std::setw(3)
+        << (bits >> 12U & 0xFFFU) << "-" << std::setw(12)
+        << (bits >> 24U & 0xFFFFFFFFFFU);
+    return out.str();
+}
+
+/// Slots of the upstream; requests wait for one in line.
+class slot_pool
+{
+public:
+    slot_pool(int slots, int max_waiting)
+        : free_(slots), max_waiting_(max_waiting)
+    {
+    }
+
+    /// Returns false if too many wait or the time is over.
+    bool acquire(milliseconds patience)
+    {
+        std::unique_lock lock(mutex_);
+        if (free_ == 0 && waiting_ >= max_waiting_)
+            return false;
+        ++waiting_;
+        bool const got =
+            freed_.wait_for(lock, patience, [this] { return free_ > 0; });
+        --waiting_;
+        free_ -= got ? 1 : 0;
+        return got;
+    }
+
+    void release()
+    {
+        {
+            std::lock_guard const lock(mutex_);
+            ++free_;
+        }
+        freed_.notify_one();
+    }
+
+private:
+    std::mutex mutex_;
+    std::condition_variable freed_;
+    int free_;
+    int waiting_ = 0;
+    int max_waiting_;
+};
+
+/// The upstream.
+class standin
+{
+public:
+    explicit standin(standin_options options)
+        : options_(std::move(options)),
+          slots_(options_.slots, options_.max_waiting),
+          service_ms_(options_.service_ms), claimed_slots_(options_.slots)
+    {
+        for (auto const& item : options_.calls)
+        {
+            auto const equals = item.find('=');
+            calls_[item.substr(0, equals)] =
+                split(item.substr(equals + 1), ',');
+        }
+        server_.new_task_queue = [] { return new connection_queue(1'024); };
+        server_.set_tcp_nodelay(true);
+        server_.set_keep_alive_max_count(1'000'000);
+        server_.set_keep_alive_timeout(120);
+        add_routes();
+    }
+
+    bool run()
+    {
+        announcer_ = std::thread([this] { announce_loop(); });
+        bool const listened = server_.listen(options_.address, options_.port);
+        stopping_ = true;
+        announcer_.join();
+        return listened;
+    }
+
+    void stop()
+    {
+        stopping_ = true;
+        httplib::Client node(options_.node_address, options_.node_port);
+        node.Post("/v1/upstream/drain");
+        // Time for the calls that are on their way here.
+        std::this_thread::sleep_for(seconds{1});
+        node.Delete("/v1/upstream");
+        // Threads of idle connections are not waited for.
+        std::quick_exit(0);
+    }
+
+private:
+    void add_routes()
+    {
+        server_.Get(
+            "/standin/runs", [this](auto const&, auto& reply)
+            { reply.set_content(describe_runs().dump(), "application/json"); });
+        server_.Post("/standin/behaviour",
+                     [this](auto const& request, auto& reply)
+                     {
+                         change_behaviour(json::parse(request.body));
+                         reply.set_content("{}", "application/json");
+                     });
+        auto const handler = [this](auto const& request, auto& reply)
+        { serve(request, reply); };
+        server_.Get("/.*", handler);
+        server_.Post("/.*", handler);
+        server_.Put("/.*", handler);
+        server_.Patch("/.*", handler);
+        server_.Delete("/.*", handler);
+    }
+
+    void change_behaviour(json const& wanted)
+    {
+        std::lock_guard const lock(mutex_);
+        service_ms_ = wanted.value("service_ms", service_ms_.load());
+        claimed_slots_ = wanted.value("claim_slots", claimed_slots_.load());
+        crash_on_ = wanted.value("crash_on", crash_on_);
+    }
+
+    json describe_runs()
+    {
+        std::lock_guard const lock(mutex_);
+        std::int64_t duplicates = 0;
+        json keys = json::object();
+        for (auto const& [key, runs] : runs_by_key_)
+        {
+            duplicates += runs > 1 ? 1 : 0;
+            keys[key] = runs;
+        }
+        return {{"runs", runs_},
+                {"duplicates", duplicates},
+                {"keys", keys},
+                {"runs_by_trace", runs_by_trace_}};
+    }
+
+    void note_run(httplib::Request const& request)
+    {
+        std::lock_guard const lock(mutex_);
+        ++runs_;
+        auto const key = request.get_header_value("Idempotency-Key");
+        if (!key.empty())
+            ++runs_by_key_[key];
+        auto const trace = request.get_header_value("traceparent");
+        constexpr std::size_t trace_start = 3;
+        constexpr std::size_t trace_size = 32;
+        if (trace.size() > trace_start + trace_size)
+            ++runs_by_trace_[trace.substr(trace_start, trace_size)];
+    }
+
+    bool must_crash(std::string const& body)
+    {
+        std::lock_guard const lock(mutex_);
+        return !crash_on_.empty() && body.find(crash_on_) != std::string::npos;
+    }
+
+    static milliseconds time_left(httplib::Request const& request)
+    {
+        auto const text = request.get_header_value("Pollenhall-Timeout-Ms");
+        return milliseconds(text.empty() ? 10'000 : std::stoll(text));
+    }
+
+    static void shed(httplib::Response& reply)
+    {
+        reply.status = service_unavailable;
+        reply.set_header("Pollenhall-Outcome", "not_run");
+        reply.set_header("Retry-After", "1");
+    }
+
+    void serve(httplib::Request const& request, httplib::Response& reply)
+    {
+        auto const started = mono_now();
+        auto const patience = time_left(request);
+        if (!slots_.acquire(patience))
+        {
+            shed(reply);
+            return;
+        }
+        // The wait may have used up the time.
+        if (mono_now() >= started + patience)
+        {
+            slots_.release();
+            shed(reply);
+            return;
+        }
+        note_run(request);
+        if (must_crash(request.body))
+            _exit(1);
+        std::this_thread::sleep_for(microseconds(
+            static_cast<std::int64_t>(service_ms_.load() * 1'000)));
+        bool const called = call_others(request);
+        slots_.release();
+        reply.status = called ? 200 : bad_gateway;
+        reply.set_header("X-Upstream", options_.service);
+        reply.set_content(request.body, "application/octet-stream");
+    }
+
+    bool call_others(httplib::Request const& request)
+    {
+        auto const kind = split(request.path.substr(1), '/').front();
+        auto const found = calls_.find(kind);
+        if (found == calls_.end())
+            return true;
+        for (auto const& target : found->second)
+        {
+            if (!call_other(request, target))
+                return false;
+        }
+        return true;
+    }
+
+    bool call_other(httplib::Request const& request, std::string const& target)
+    {
+        thread_local std::unique_ptr<httplib::Client> client;
+        if (!client)
+        {
+            client = std::make_unique<httplib::Client>(options_.node_address,
+                                                       options_.node_port);
+            client->set_keep_alive(true);
+            client->set_tcp_nodelay(true);
+            client->set_read_timeout(seconds{60});
+        }
+        httplib::Headers headers;
+        for (auto const* name : {"traceparent", "tracestate"})
+        {
+            auto const value = request.get_header_value(name);
+            if (!value.empty())
+                headers.emplace(name, value);
+        }
+        auto const key = request.get_header_value("Idempotency-Key");
+        if (!key.empty())
+            headers.emplace("Idempotency-Key", derive_key(key, target));
+        auto const result =
+            client->Post(("/call/" + target).c_str(), headers, request.body,
+                         "application/octet-stream");
+        return result && result->status == 200 && result->body == request.body;
+    }
+
+    void announce_loop()
+    {
+        auto const incarnation =
+            std::to_string(wall_now().time_since_epoch().count());
+        httplib::Client node(options_.node_address, options_.node_port);
+        node.set_keep_alive(true);
+        while (!stopping_)
+        {
+            json const body{{"service", options_.service},
+                            {"port", options_.port},
+                            {"slots", claimed_slots_.load()},
+                            {"incarnation", incarnation}};
+            node.Put("/v1/upstream", body.dump(), "application/json");
+            std::this_thread::sleep_for(announce_period);
+        }
+    }
+
+    standin_options options_;
+    slot_pool slots_;
+    std::map<std::string, std::vector<std::string>> calls_;
+    std::atomic<double> service_ms_;
+    std::atomic<int> claimed_slots_;
+    std::atomic<bool> stopping_{false};
+    std::mutex mutex_;
+    std::string crash_on_;
+    std::int64_t runs_ = 0;
+    std::map<std::string, int> runs_by_key_;
+    std::map<std::string, int> runs_by_trace_;
+    httplib::Server server_;
+    std::thread announcer_;
+};
+
+} // namespace
+
+int main(int count, char** values)
+{
+    namespace po = boost::program_options;
+    standin_options wanted;
+    po::options_description options("Options");
+    auto add = options.add_options();
+    add("address", po::value(&wanted.address)->default_value("127.0.0.1"));
+    add("port", po::value(&wanted.port)->required());
+    add("node-address",
+        po::value(&wanted.node_address)->default_value("127.0.0.1"));
+    add("node-port", po::value(&wanted.node_port)->required());
+    add("service", po::value(&wanted.service)->required());
+    add("slots", po::value(&wanted.slots));
+    add("max-waiting", po::value(&wanted.max_waiting));
+    add("service-ms", po::value(&wanted.service_ms));
+    add("calls", po::value(&wanted.calls)->multitoken(),
+        "KIND=SERVICE/KIND,...");
+    po::variables_map seen;
+    po::store(po::parse_command_line(count, values, options), seen);
+    po::notify(seen);
+    std::signal(SIGPIPE, SIG_IGN);
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    standin upstream(std::move(wanted));
+    std::thread waiter(
+        [&]
+        {
+            int signal = 0;
+            sigwait(&signals, &signal);
+            upstream.stop();
+        });
+    bool const listened = upstream.run();
+    std::quick_exit(listened ? 0 : 1);
+}
--- /dev/null
+++ b/testsuite/gen_py/pollenhall_operator/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants', 'operator_service']
