Own care for callers' connections in the HTTP server

Cause: in the first storm the processes spent 250 s of system time in 86 s; cpp-httplib's keep-alive loop wakes each idle connection's thread every 10 ms (a select in a loop, seen in its header), and the load held thousands of idle connections. Ruled out: the decisions, since no control fared as badly.

Change: http_server overrides the library's handling of a connection: a thread sleeps until a request arrives, idle connections can be closed at a stop, and a handler sees that its caller has gone, which now cancels the call.

--- a/src/pollenhalld/call_entry.cpp
+++ b/src/pollenhalld/call_entry.cpp
@@ -56,8 +56,7 @@
 } // namespace
 
 call_entry::call_entry(traffic_core& core)
-    : core_(core),
-      runner_(core, [this](std::uint64_t call) { cancel_child(call); }),
+    : core_(core), runner_(core, [this](std::uint64_t call) { cancel(call); }),
       home_(core, home_ratio_,
             [this](forwarded_call& call, call_handler handler)
             { return spread(call, std::move(handler)); })
@@ -104,7 +103,8 @@
     return std::nullopt;
 }
 
-void call_entry::serve(caller_request request, answer_handler handler)
+void call_entry::serve(std::uint64_t number, caller_request request,
+                       answer_handler handler)
 {
     auto const view = core_.view.get();
     if (auto fault = find_fault(request, *view))
@@ -115,7 +115,6 @@
     auto const now = mono_now();
     auto const& service = *view->declarations->find(request.kind.service);
     auto const& kind = *service.find(request.kind.kind);
-    auto const number = next_call_++;
     open_call open;
     open.handler = std::move(handler);
     open.kind = request.kind;
@@ -247,9 +246,9 @@
         count_end(row, result.what, result.reason, mono_now() <= open.deadline);
 }
 
-void call_entry::cancel_child(std::uint64_t call)
+void call_entry::cancel(std::uint64_t number)
 {
-    auto const found = open_.find(call);
+    auto const found = open_.find(number);
     if (found == open_.end() || !found->second.driver)
         return;
     auto const driver = found->second.driver;
--- a/src/pollenhalld/call_entry.hpp
+++ b/src/pollenhalld/call_entry.hpp
@@ -51,10 +51,12 @@
     explicit call_entry(traffic_core& core);
     ~call_entry();
 
-    /// Serves a call; the handler is called once.
-    void serve(caller_request request, answer_handler handler);
-    /// Ends a call that an upstream made, because its parent ended.
-    void cancel_child(std::uint64_t call);
+    /// Serves a call under a number of the caller's choice; the handler is
+    /// called once.
+    void serve(std::uint64_t number, caller_request request,
+               answer_handler handler);
+    /// Ends a call because its caller has gone or its parent has ended.
+    void cancel(std::uint64_t number);
 
     /// Runs a call that a peer sent, on this node's upstream or as the home
     /// of its key. Returns a canceller.
@@ -116,7 +118,6 @@
     std::map<service_name, service_state> services_;
     retry_ratio home_ratio_;
     std::map<std::uint64_t, open_call> open_;
-    std::uint64_t next_call_ = 1;
     local_runner runner_;
     home_service home_;
 };
--- a/src/pollenhalld/caller_server.cpp
+++ b/src/pollenhalld/caller_server.cpp
@@ -7,6 +7,7 @@
 #include <pollenhall/io/connection_queue.hpp>
 #include <pollenhall/io/http_names.hpp>
 #include <pollenhall/io/http_passthrough.hpp>
+#include <pollenhall/io/http_server.hpp>
 #include <pollenhall/io/log_event.hpp>
 
 #include <algorithm>
@@ -33,8 +34,8 @@
 constexpr int service_unavailable = 503;
 constexpr int gateway_timeout = 504;
 constexpr int too_many_requests = 429;
-constexpr std::size_t keep_alive_requests = 1'000'000;
-constexpr int keep_alive_seconds = 60;
+// Time between two looks whether a caller still waits.
+constexpr milliseconds presence_check{50};
 constexpr std::string_view problem_type = "application/problem+json";
 constexpr milliseconds longest_caller_timeout = std::chrono::minutes{10};
 
@@ -176,9 +177,6 @@
             return new connection_queue(
                 static_cast<std::size_t>(settings.caller_connections));
         };
-        server_.set_tcp_nodelay(true);
-        server_.set_keep_alive_max_count(keep_alive_requests);
-        server_.set_keep_alive_timeout(keep_alive_seconds);
         server_.set_payload_max_length(
             static_cast<std::size_t>(settings.max_body_bytes));
         add_routes();
@@ -187,7 +185,7 @@
     ~implementation();
 
     absl::Status start();
-    void stop_accepting();
+    void stop();
     [[nodiscard]] int open_requests() const { return open_requests_; }
 
 private:
@@ -209,7 +207,7 @@
     traffic_plane& traffic_;
     control_plane& control_;
     view_holder const& view_;
-    httplib::Server server_;
+    http_server server_;
     std::thread thread_;
     std::atomic<int> open_requests_{0};
 };
@@ -378,8 +376,16 @@
     request.body = std::move(body);
     std::promise<caller_answer> promise;
     auto future = promise.get_future();
-    traffic_.serve(std::move(request), [&promise](caller_answer answer)
-                   { promise.set_value(std::move(answer)); });
+    auto const call =
+        traffic_.serve(std::move(request), [&promise](caller_answer answer)
+                       { promise.set_value(std::move(answer)); });
+    while (future.wait_for(presence_check) != std::future_status::ready)
+    {
+        if (!http_server::caller_has_gone())
+            continue;
+        traffic_.cancel(call);
+        break;
+    }
     write_answer(future.get(), reply);
 }
 
@@ -433,16 +439,18 @@
     return absl::OkStatus();
 }
 
-void caller_server::implementation::stop_accepting()
+void caller_server::implementation::stop()
 {
+    if (!thread_.joinable())
+        return;
     server_.stop();
+    server_.close_idle_connections();
+    thread_.join();
 }
 
 caller_server::implementation::~implementation()
 {
-    server_.stop();
-    if (thread_.joinable())
-        thread_.join();
+    stop();
 }
 
 caller_server::caller_server(node_settings const& settings,
@@ -460,9 +468,9 @@
     return implementation_->start();
 }
 
-void caller_server::stop_accepting()
+void caller_server::stop()
 {
-    implementation_->stop_accepting();
+    implementation_->stop();
 }
 
 int caller_server::open_requests() const
--- a/src/pollenhalld/caller_server.hpp
+++ b/src/pollenhalld/caller_server.hpp
@@ -27,9 +27,9 @@
     absl::Status start();
     /// Requests whose answers are not written yet.
     [[nodiscard]] int open_requests() const;
-    /// Stops accepting connections. Idle ones stay open until the process
-    /// ends, since each holds a thread until its caller uses or closes it.
-    void stop_accepting();
+    /// Stops accepting connections, closes idle ones, and returns when all
+    /// requests in progress are answered.
+    void stop();
 
 private:
     class implementation;
--- a/src/pollenhalld/main.cpp
+++ b/src/pollenhalld/main.cpp
@@ -12,7 +12,6 @@
 #include <boost/program_options.hpp>
 
 #include <csignal>
-#include <cstdlib>
 #include <iostream>
 #include <optional>
 #include <thread>
@@ -139,7 +138,7 @@
         advance(wait_until_idle() ? "idle" : "grace-expired");
         control_.say_goodbye();
         advance("said-goodbye");
-        callers_.stop_accepting();
+        callers_.stop();
         operators_.stop();
         traffic_.stop();
         control_.stop();
@@ -218,8 +217,7 @@
     sigwait(&signals, &signal);
     daemon.stop();
     log_event("node_stopped").add("node", settings.name.value());
-    // Threads of idle connections of callers are not waited for.
-    std::quick_exit(exit_done);
+    return exit_done;
 }
 
 } // namespace
--- a/src/pollenhalld/traffic_plane.cpp
+++ b/src/pollenhalld/traffic_plane.cpp
@@ -97,12 +97,21 @@
     }
 }
 
-void traffic_plane::serve(caller_request request, answer_handler handler)
+std::uint64_t traffic_plane::serve(caller_request request,
+                                   answer_handler handler)
 {
     idle_ = false;
-    asio::post(context_, [this, request = std::move(request),
-                          handler = std::move(handler)]() mutable
-               { entry_->serve(std::move(request), std::move(handler)); });
+    auto const number = next_call_++;
+    asio::post(
+        context_, [this, number, request = std::move(request),
+                   handler = std::move(handler)]() mutable
+        { entry_->serve(number, std::move(request), std::move(handler)); });
+    return number;
+}
+
+void traffic_plane::cancel(std::uint64_t call)
+{
+    asio::post(context_, [this, call] { entry_->cancel(call); });
 }
 
 void traffic_plane::set_upstream(announced_upstream upstream)
--- a/src/pollenhalld/traffic_plane.hpp
+++ b/src/pollenhalld/traffic_plane.hpp
@@ -55,8 +55,11 @@
     /// Ends the thread. Calls in progress should be done by then.
     void stop();
 
-    /// Serves a call; the handler runs on the traffic thread.
-    void serve(caller_request request, answer_handler handler);
+    /// Serves a call; the handler runs on the traffic thread. Returns the
+    /// number to cancel it by.
+    std::uint64_t serve(caller_request request, answer_handler handler);
+    /// Ends a call whose caller has gone; its handler is still called.
+    void cancel(std::uint64_t call);
     void set_upstream(announced_upstream upstream);
     void set_accepting(bool accepting);
     /// Takes in a suspicion that a peer shared.
@@ -95,6 +98,7 @@
     std::map<std::pair<link_id, std::int64_t>, try_canceller> peer_calls_;
     // What the control thread was told last.
     std::vector<roster_status> told_statuses_;
+    std::atomic<std::uint64_t> next_call_{1};
     std::atomic<bool> idle_{true};
     std::thread thread_;
 };
--- a/src/standins/store_standin.cpp
+++ b/src/standins/store_standin.cpp
@@ -8,6 +8,7 @@
 
 #include <pollenhall/io/clocks.hpp>
 #include <pollenhall/io/connection_queue.hpp>
+#include <pollenhall/io/http_server.hpp>
 
 #include <boost/program_options.hpp>
 
@@ -252,9 +253,6 @@
     {
         server_.new_task_queue = []
         { return new connection_queue(max_connections); };
-        server_.set_tcp_nodelay(true);
-        server_.set_keep_alive_max_count(1'000'000);
-        server_.set_keep_alive_timeout(120);
         serve("/v3/kv/range",
               [this](json const& body) { return store_.range(body); });
         serve("/v3/lease/grant",
@@ -390,7 +388,7 @@
     }
 
     memory_store store_;
-    httplib::Server server_;
+    http_server server_;
     std::atomic<bool> stopping_{false};
     std::mutex mutex_;
     std::map<std::string, int> calls_;
--- a/src/standins/upstream_standin.cpp
+++ b/src/standins/upstream_standin.cpp
@@ -11,6 +11,7 @@
 #include <pollenhall/io/clocks.hpp>
 #include <pollenhall/io/connection_queue.hpp>
 #include <pollenhall/io/http_passthrough.hpp>
+#include <pollenhall/io/http_server.hpp>
 
 #include <boost/program_options.hpp>
 
@@ -133,9 +134,6 @@
                 split(item.substr(equals + 1), ',');
         }
         server_.new_task_queue = [] { return new connection_queue(1'024); };
-        server_.set_tcp_nodelay(true);
-        server_.set_keep_alive_max_count(1'000'000);
-        server_.set_keep_alive_timeout(120);
         add_routes();
     }
 
@@ -345,7 +343,7 @@
     std::int64_t runs_ = 0;
     std::map<std::string, int> runs_by_key_;
     std::map<std::string, int> runs_by_trace_;
-    httplib::Server server_;
+    http_server server_;
     std::thread announcer_;
 };
 
