--- a/src/include/pollenhall/admission.hpp
+++ b/src/include/pollenhall/admission.hpp
@@ -17,8 +17,9 @@
 {
     /// Length of one round of measurement.
     milliseconds window{50};
-    /// Shortest wait in a window from which on it counts as overloaded.
-    milliseconds target_wait{10};
+    /// A window counts as overloaded if each call in it waited for at least
+    /// this share of its time from arrival to deadline.
+    double target_wait_share = 0.1;
     /// Share of the completion rate that is admitted under overload.
     double drain_share = 0.9;
     /// First step down after overload, in ranks; doubles each calm window.
@@ -40,8 +41,9 @@
 
     /// Counts a request that arrived, admitted or not.
     void on_arrival(request_rank rank);
-    /// Notes how long a request waited before it started or was given up.
-    void on_wait(microseconds wait);
+    /// Notes how long a request waited before it started or was given up, as
+    /// a share of its time from arrival to deadline.
+    void on_wait(double share);
     /// Counts a request that the upstream completed.
     void on_completion();
     /// Closes the window if it is over; call it often.
@@ -57,7 +59,7 @@
     int step_;
     mono_time window_start_{};
     bool has_wait_ = false;
-    microseconds shortest_wait_{0};
+    double shortest_wait_ = 0;
     int completions_ = 0;
     // Arrivals by rank, decayed from window to window against noise.
     std::array<double, rank_count> arrivals_{};
--- a/src/include/pollenhall/call_plan.hpp
+++ b/src/include/pollenhall/call_plan.hpp
@@ -60,12 +60,24 @@
 };
 using call_step = std::variant<step_try, step_wait, step_answer>;
 
+/// How much of a call's retries goes along with each try.
+enum class retry_lending
+{
+    /// Everything, for a call that is never tried again from here.
+    all,
+    /// Half, rounded down; the rest is there if the try is lost.
+    half,
+    /// Nothing, for a call below which no others are made.
+    none
+};
+
 /// Settings of `call_plan`.
 struct call_plan_options
 {
     bool repeatable = true;
     /// Whether a call that was refused may be offered to another upstream.
     bool may_move = true;
+    retry_lending lending = retry_lending::half;
     mono_time deadline{};
     backoff_options backoff{};
 };
@@ -93,6 +105,7 @@
     [[nodiscard]] retry_count unspent() const { return budget_.unspent(); }
 
 private:
+    retry_count lend();
     [[nodiscard]] bool allows_retry(try_result const& result) const;
 
     call_plan_options options_;
--- a/src/include/pollenhall/dispatch_queue.hpp
+++ b/src/include/pollenhall/dispatch_queue.hpp
@@ -66,6 +66,9 @@
     mono_time deadline;
 };
 
+/// Share of its time from arrival to deadline that a call has waited.
+double wait_share(queued_call const& call, mono_time now);
+
 /// A call that left the queue without running.
 struct dropped_call
 {
@@ -78,8 +81,11 @@
 {
     concurrency_options concurrency{};
     admission_options admission{};
-    /// Longest wait; more than this is wasted on requests that give up.
-    milliseconds max_wait{100};
+    /// Longest wait, as a share of a call's time from arrival to deadline.
+    double max_wait_share = 0.5;
+    /// Longest wait. What waits when pressure ends delays the return to
+    /// normal, so a long deadline does not make a long queue.
+    milliseconds max_wait{1'000};
     /// Most calls that wait; the lowest rank makes room for a higher one.
     std::size_t max_queued = 1'024;
     /// Share of the limit that each class may fill, from the lowest class.
--- a/src/include/pollenhall/retry_budget.hpp
+++ b/src/include/pollenhall/retry_budget.hpp
@@ -24,17 +24,20 @@
     /// Takes one retry; false if none is left.
     bool spend();
 
-    /// Lends all that is left, for a call without siblings.
-    retry_count lend_all();
+    /// Lends a part, at most what is left; returns how much it was.
+    retry_count lend(retry_count amount);
+    /// Lends all that is left.
+    retry_count lend_all() { return lend(unspent_); }
     /// Lends half, rounded up, and keeps the rest for sibling calls.
-    retry_count lend_half();
+    retry_count lend_half()
+    {
+        return lend(retry_count((unspent_.value() + 1) / 2));
+    }
     /// Takes back what a call did not use. More than `lent` is not accepted,
     /// nor a negative number.
     void give_back(retry_count returned, retry_count lent);
 
 private:
-    retry_count lend(retry_count amount);
-
     // Never negative.
     retry_count unspent_;
     // Sum of what was lent and not given back; bounds what may come back.
--- a/src/libpollenhall/admission.cpp
+++ b/src/libpollenhall/admission.cpp
@@ -23,9 +23,9 @@
     arrivals_.at(static_cast<std::size_t>(index)) += 1;
 }
 
-void admission_controller::on_wait(microseconds wait)
+void admission_controller::on_wait(double share)
 {
-    shortest_wait_ = has_wait_ ? std::min(shortest_wait_, wait) : wait;
+    shortest_wait_ = has_wait_ ? std::min(shortest_wait_, share) : share;
     has_wait_ = true;
 }
 
@@ -38,7 +38,8 @@
 {
     if (now < window_start_ + options_.window)
         return;
-    bool const overloaded = has_wait_ && shortest_wait_ >= options_.target_wait;
+    bool const overloaded =
+        has_wait_ && shortest_wait_ >= options_.target_wait_share;
     if (overloaded)
         raise_threshold();
     else
--- a/src/libpollenhall/call_plan.cpp
+++ b/src/libpollenhall/call_plan.cpp
@@ -62,10 +62,24 @@
 step_try call_plan::resume()
 {
     ++tries_;
-    lent_ = budget_.lend_all();
+    lent_ = lend();
     return {.lent = lent_};
 }
 
+retry_count call_plan::lend()
+{
+    switch (options_.lending)
+    {
+    case retry_lending::all:
+        return budget_.lend_all();
+    case retry_lending::half:
+        return budget_.lend(retry_count(budget_.unspent().value() / 2));
+    case retry_lending::none:
+        break;
+    }
+    return retry_count(0);
+}
+
 bool call_plan::allows_retry(try_result const& result) const
 {
     switch (result.what)
--- a/src/libpollenhall/dispatch_queue.cpp
+++ b/src/libpollenhall/dispatch_queue.cpp
@@ -38,6 +38,13 @@
     return static_cast<refusal>(found - refusal_names.begin());
 }
 
+double wait_share(queued_call const& call, mono_time now)
+{
+    auto const whole = std::max(call.deadline - call.arrived, microseconds{1});
+    return static_cast<double>((now - call.arrived).count()) /
+           static_cast<double>(whole.count());
+}
+
 bool dispatch_queue::start_order::operator()(queued_call const& left,
                                              queued_call const& right) const
 {
@@ -134,7 +141,7 @@
     {
         queued_call call = **next;
         remove(*next);
-        admission_.on_wait(now - call.arrived);
+        admission_.on_wait(wait_share(call, now));
         running_[call.number] = {.member = call.member, .started = now};
         ++running_by_member_[call.member];
         limit_.on_start(running());
@@ -154,11 +161,12 @@
         std::optional<refusal> reason;
         if (now >= current->deadline)
             reason = refusal::deadline;
-        else if (now - current->arrived >= options_.max_wait)
+        else if (wait_share(*current, now) >= options_.max_wait_share ||
+                 now - current->arrived >= options_.max_wait)
             reason = refusal::queue_timeout;
         if (!reason)
             continue;
-        admission_.on_wait(now - current->arrived);
+        admission_.on_wait(wait_share(*current, now));
         dropped.push_back({.number = current->number, .reason = *reason});
         remove(current);
     }
--- a/src/libpollenhall/retry_budget.cpp
+++ b/src/libpollenhall/retry_budget.cpp
@@ -20,18 +20,9 @@
     return true;
 }
 
-retry_count retry_budget::lend_all()
-{
-    return lend(unspent_);
-}
-
-retry_count retry_budget::lend_half()
-{
-    return lend(retry_count((unspent_.value() + 1) / 2));
-}
-
 retry_count retry_budget::lend(retry_count amount)
 {
+    amount = std::clamp(amount, retry_count(0), unspent_);
     unspent_ = retry_count(unspent_.value() - amount.value());
     outstanding_ = retry_count(outstanding_.value() + amount.value());
     return amount;
--- /dev/null
+++ b/src/libpollenhall_io/process_limits.cpp
@@ -0,0 +1,31 @@
+// Implements raising the limits of the process.
+
+#include <pollenhall/io/process_limits.hpp>
+
+#include <algorithm>
+#include <string>
+
+#include <sys/resource.h>
+
+namespace pollenhall
+{
+
+absl::Status reserve_open_files(std::uint64_t needed)
+{
+    rlimit limit{};
+    if (getrlimit(RLIMIT_NOFILE, &limit) != 0)
+        return absl::InternalError("the limit of open files is not known");
+    if (limit.rlim_cur < needed)
+    {
+        limit.rlim_cur = std::min<rlim_t>(needed, limit.rlim_max);
+        setrlimit(RLIMIT_NOFILE, &limit);
+    }
+    if (limit.rlim_cur >= needed)
+        return absl::OkStatus();
+    return absl::ResourceExhaustedError(
+        "the settings need " + std::to_string(needed) +
+        " open files, the process may have " + std::to_string(limit.rlim_cur) +
+        "; raise the hard limit or lower max-connections");
+}
+
+} // namespace pollenhall
--- a/src/libpollenhall_io/upstream_client.cpp
+++ b/src/libpollenhall_io/upstream_client.cpp
@@ -8,6 +8,8 @@
 #include <array>
 #include <charconv>
 
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
 #include <httplib.h>
 
 namespace pollenhall
@@ -16,7 +18,7 @@
 {
 
 constexpr milliseconds connect_timeout{1'000};
-constexpr milliseconds shortest_timeout{1};
+constexpr milliseconds timeout_margin{5};
 constexpr int too_many_requests = 429;
 constexpr int bad_gateway = 502;
 constexpr int service_unavailable = 503;
@@ -82,13 +84,15 @@
     return result;
 }
 
+// Whether a process listens there; nothing is sent, so nothing runs.
 bool is_listening(upstream_endpoint const& endpoint)
 {
-    httplib::Client probe(endpoint.address, endpoint.port);
-    probe.set_connection_timeout(connect_timeout);
-    probe.set_read_timeout(shortest_timeout);
-    auto const result = probe.Get("/");
-    return result || result.error() == httplib::Error::Read;
+    asio::io_context context;
+    asio::ip::tcp::socket probe(context);
+    asio::error_code error;
+    auto const address = asio::ip::make_address(endpoint.address, error);
+    probe.connect({address, static_cast<std::uint16_t>(endpoint.port)}, error);
+    return error != asio::error::connection_refused;
 }
 
 bool is_connect_error(httplib::Error error)
@@ -198,7 +202,8 @@
                 .unreachable = true};
     exchange_result broken{.result = make_unknown()};
     broken.result.upstream_failed = true;
-    bool const timed_out = mono_now() >= call.deadline;
+    // Timeouts are set in whole milliseconds and may end a little early.
+    bool const timed_out = mono_now() + timeout_margin >= call.deadline;
     if (!timed_out && !handle.is_cancelled())
         broken.crashed = !is_listening(endpoint);
     return broken;
--- a/src/pollenhalld/call_entry.cpp
+++ b/src/pollenhalld/call_entry.cpp
@@ -35,6 +35,15 @@
     return answer;
 }
 
+// The home of a key moves tries itself; below a kind that makes no calls
+// nobody could use a retry.
+retry_lending lending_of(kind_declaration const& kind)
+{
+    if (!kind.repeatable)
+        return retry_lending::all;
+    return kind.calls.empty() ? retry_lending::none : retry_lending::half;
+}
+
 route_result to_route_result(call_result const& result)
 {
     switch (result.what)
@@ -199,6 +208,7 @@
     // The home of a key decides on its tries; the entry only asks it.
     call_plan_options const options{.repeatable = kind.repeatable,
                                     .may_move = !has_key,
+                                    .lending = lending_of(kind),
                                     .deadline = call.deadline};
     auto& ratio = has_key ? home_ratio_ : state_of(call.kind.service).ratio;
     auto sender = [this, has_key](forwarded_call& item, call_handler handler)
--- a/src/pollenhalld/local_runner.cpp
+++ b/src/pollenhalld/local_runner.cpp
@@ -43,7 +43,8 @@
         // The baseline sends everything on at once.
         options.concurrency.initial = options.concurrency.max;
         options.concurrency.min = options.concurrency.max;
-        options.admission.target_wait = std::chrono::hours{1};
+        options.admission.target_wait_share = 2;
+        options.max_wait_share = 2;
         options.max_wait = std::chrono::hours{1};
         options.class_share.fill(1.0);
     }
--- a/src/pollenhalld/main.cpp
+++ b/src/pollenhalld/main.cpp
@@ -7,6 +7,7 @@
 #include "traffic_plane.hpp"
 
 #include <pollenhall/io/log_event.hpp>
+#include <pollenhall/io/process_limits.hpp>
 #include <pollenhall/version.hpp>
 
 #include <boost/program_options.hpp>
@@ -57,8 +58,9 @@
                          "Runs the node beside an upstream.\n\n"
                       << options
                       << "\nExit codes: 0 stopped as asked, 1 findings in "
-                         "the settings,\n2 wrong usage, 4 a port cannot be "
-                         "bound.\n";
+                         "the settings,\n2 wrong usage, 4 a port or enough "
+                         "open files "
+                         "cannot be had.\n";
             return exit_done;
         }
         if (seen.count("version") > 0)
@@ -199,9 +201,23 @@
     state_code stop_state_;
 };
 
+// Files that the daemon opens besides callers and the upstream: connections
+// with peers, logs, and what libraries need.
+constexpr std::uint64_t other_open_files = 2'048;
+
 int run(node_settings const& settings, node_charts const& charts)
 {
     auto const signals = block_stop_signals();
+    auto const limits = reserve_open_files(
+        static_cast<std::uint64_t>(settings.caller_connections) +
+        static_cast<std::uint64_t>(settings.upstream_connections) +
+        other_open_files);
+    if (!limits.ok())
+    {
+        log_event("start_failed", log_level::error)
+            .add("reason", std::string(limits.message()));
+        return exit_failed;
+    }
     daemon_process daemon(settings, charts);
     if (auto const status = daemon.start(); !status.ok())
     {
--- a/src/standins/load_driver.cpp
+++ b/src/standins/load_driver.cpp
@@ -10,6 +10,7 @@
 
 #include <pollenhall/io/clocks.hpp>
 #include <pollenhall/io/elastic_pool.hpp>
+#include <pollenhall/io/process_limits.hpp>
 
 #include <httplib.h>
 #include <nlohmann/json.hpp>
@@ -256,6 +257,9 @@
 {
     std::string const text{std::istreambuf_iterator<char>(std::cin),
                            std::istreambuf_iterator<char>()};
+    constexpr std::uint64_t open_files = 20'000;
+    if (auto const limits = reserve_open_files(open_files); !limits.ok())
+        std::cerr << "load_driver: " << limits.message() << "\n";
     load_driver driver(parse_plan(json::parse(text)));
     std::cout << driver.run().dump() << "\n";
     return 0;
--- a/src/standins/store_standin.cpp
+++ b/src/standins/store_standin.cpp
@@ -9,6 +9,7 @@
 #include <pollenhall/io/clocks.hpp>
 #include <pollenhall/io/connection_queue.hpp>
 #include <pollenhall/io/http_server.hpp>
+#include <pollenhall/io/process_limits.hpp>
 
 #include <boost/program_options.hpp>
 
@@ -409,6 +410,9 @@
     po::store(po::parse_command_line(count, values, options), seen);
     po::notify(seen);
     std::signal(SIGPIPE, SIG_IGN);
+    constexpr std::uint64_t open_files = 4'096;
+    if (auto const limits = reserve_open_files(open_files); !limits.ok())
+        std::cerr << limits.message() << "\n";
     sigset_t signals;
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
--- a/src/standins/upstream_standin.cpp
+++ b/src/standins/upstream_standin.cpp
@@ -12,6 +12,7 @@
 #include <pollenhall/io/connection_queue.hpp>
 #include <pollenhall/io/http_passthrough.hpp>
 #include <pollenhall/io/http_server.hpp>
+#include <pollenhall/io/process_limits.hpp>
 
 #include <boost/program_options.hpp>
 
@@ -161,6 +162,8 @@
 private:
     void add_routes()
     {
+        // The library asks handlers that read bodies first.
+        constexpr char const* any_kind = "/(?!standin/).+";
         server_.Get(
             "/standin/runs", [this](auto const&, auto& reply)
             { reply.set_content(describe_runs().dump(), "application/json"); });
@@ -180,12 +183,12 @@
         auto const handler =
             [this](auto const& request, auto& reply, auto const& reader)
         { serve(request, read_body(reader), reply); };
-        server_.Get("/.*", [this](auto const& request, auto& reply)
+        server_.Get(any_kind, [this](auto const& request, auto& reply)
                     { serve(request, {}, reply); });
-        server_.Post("/.*", handler);
-        server_.Put("/.*", handler);
-        server_.Patch("/.*", handler);
-        server_.Delete("/.*", handler);
+        server_.Post(any_kind, handler);
+        server_.Put(any_kind, handler);
+        server_.Patch(any_kind, handler);
+        server_.Delete(any_kind, handler);
     }
 
     void change_behaviour(json const& wanted)
@@ -370,6 +373,9 @@
     po::store(po::parse_command_line(count, values, options), seen);
     po::notify(seen);
     std::signal(SIGPIPE, SIG_IGN);
+    constexpr std::uint64_t open_files = 4'096;
+    if (auto const limits = reserve_open_files(open_files); !limits.ok())
+        std::cerr << limits.message() << "\n";
     sigset_t signals;
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
