--- /dev/null
+++ b/src/benchmarks/control_benchmark.cpp
@@ -0,0 +1,161 @@
+// Drives the structures of control at the size to design for: 3,200 peers,
+// 530 services, a day's 11,000 changes. Prints costs as JSON.
+
+#include <pollenhall/document_book.hpp>
+#include <pollenhall/home_roster.hpp>
+#include <pollenhall/io/clocks.hpp>
+#include <pollenhall/io/wire_codec.hpp>
+#include <pollenhall/membership.hpp>
+
+#include <iostream>
+#include <malloc.h>
+
+#include <nlohmann/json.hpp>
+
+namespace
+{
+
+using namespace pollenhall;
+using nlohmann::json;
+
+constexpr int peer_count = 3'200;
+constexpr int service_count = 530;
+constexpr int zone_count = 12;
+constexpr int changes_a_day = 11'000;
+constexpr int measured_messages = 200;
+
+double megabytes_in_use()
+{
+    auto const info = mallinfo2();
+    return static_cast<double>(info.uordblks + info.hblkhd) / 1e6;
+}
+
+// Runs a function and returns the mean time of one run in microseconds.
+template <class Function>
+double mean_us(int runs, Function function)
+{
+    auto const start = mono_now();
+    for (int i = 0; i < runs; ++i)
+        function(i);
+    return static_cast<double>((mono_now() - start).count()) / runs;
+}
+
+peer_info make_peer(int number)
+{
+    peer_info peer;
+    peer.node = node_id("service-" + std::to_string(number % service_count) +
+                        "-host-" + std::to_string(number));
+    peer.boot = boot_id(1'796'374'781'890 + number);
+    peer.endpoint = {.address = "10.20." + std::to_string(number / 250) + "." +
+                                std::to_string(number % 250),
+                     .port = 7'002};
+    peer.zone = zone_name("zone-" + std::to_string(number % zone_count));
+    peer.service =
+        service_name("service-" + std::to_string(number % service_count));
+    peer.upstream_state = state_code(2);
+    peer.version = 2;
+    return peer;
+}
+
+json measure_membership()
+{
+    auto const before = megabytes_in_use();
+    membership members(make_peer(0), {});
+    mono_time now{seconds{1}};
+    for (int i = 1; i < peer_count; ++i)
+    {
+        gossip_message message;
+        message.sender = make_peer(i);
+        members.receive(message, message.sender.endpoint, now);
+    }
+    gossip_message ping;
+    ping.kind = gossip_kind::ping;
+    ping.sender = make_peer(7);
+    ping.target = make_peer(0).node;
+    // Passes all news on, as after a long time without changes.
+    constexpr int enough_messages = 12'000;
+    auto const busy_us =
+        mean_us(enough_messages,
+                [&](int) { members.receive(ping, ping.sender.endpoint, now); });
+    double bytes = 0;
+    auto const receive_us =
+        mean_us(measured_messages,
+                [&](int)
+                {
+                    for (auto const& item :
+                         members.receive(ping, ping.sender.endpoint, now))
+                        bytes += static_cast<double>(
+                            encode_gossip(item.message).size());
+                });
+    // Few ticks, so that no peer is suspected for want of answers.
+    constexpr int measured_ticks = 20;
+    auto const tick_us =
+        mean_us(measured_ticks, [&](int) { members.tick(now += seconds{1}); });
+    return {{"peers", peer_count},
+            {"megabytes", megabytes_in_use() - before},
+            {"receive_ping_with_news_us", busy_us},
+            {"receive_ping_us", receive_us},
+            {"tick_us", tick_us},
+            {"bytes_sent_a_ping", bytes / measured_messages}};
+}
+
+json measure_documents()
+{
+    auto const before = megabytes_in_use();
+    document_book book;
+    std::string const text(1'200, 'x');
+    for (int i = 0; i < service_count; ++i)
+    {
+        space_update update{.space = "roster/service-" + std::to_string(i),
+                            .newest = generation(1),
+                            .apply_id = "id",
+                            .actor = "node",
+                            .since = generation(0),
+                            .documents = {{.path = "roster.json",
+                                           .changed = generation(1),
+                                           .text = text}}};
+        book.merge(update);
+        update.space = "member/all";
+        update.newest = generation(i + 1);
+        update.since = generation(i);
+        update.documents.front().path =
+            "services/" + std::to_string(i) + ".ini";
+        update.documents.front().changed = update.newest;
+        book.merge(update);
+    }
+    auto const megabytes = megabytes_in_use() - before;
+    auto const merge_us =
+        mean_us(changes_a_day,
+                [&](int i)
+                {
+                    generation const made(service_count + 1 + i);
+                    space_update const update{
+                        .space = "member/all",
+                        .newest = made,
+                        .apply_id = std::to_string(i),
+                        .actor = "operator",
+                        .since = generation(made.value() - 1),
+                        .documents = {
+                            {.path = "services/" +
+                                     std::to_string(i % service_count) + ".ini",
+                             .changed = made,
+                             .text = text}}};
+                    book.merge(update);
+                });
+    auto const hash_us = mean_us(measured_messages,
+                                 [&](int) { static_cast<void>(book.hash()); });
+    return {{"services", service_count},
+            {"megabytes", megabytes},
+            {"merge_us", merge_us},
+            {"book_hash_us", hash_us}};
+}
+
+} // namespace
+
+int main()
+{
+    json const report{{"membership", measure_membership()},
+                      {"documents", measure_documents()}};
+    std::cout << report.dump(2) << "\n";
+    return 0;
+}
--- a/src/include/pollenhall/membership.hpp
+++ b/src/include/pollenhall/membership.hpp
@@ -143,6 +143,10 @@
     std::size_t max_sync_datagrams = 32;
     /// Least time between two syncs that this node starts.
     milliseconds sync_interval{1'000};
+    /// Time for which tables may differ while news is still being passed on.
+    milliseconds sync_patience{2'000};
+    /// Least time between two rounds of urgent news that are passed on.
+    milliseconds urgent_interval{100};
     /// Seed of the random choices.
     std::uint64_t seed = 1;
 };
@@ -234,7 +238,9 @@
 
     using sends = std::vector<gossip_send>;
 
-    void merge(peer_info const& news, mono_time now);
+    // Returns whether the news is urgent: an upstream that changed, a peer
+    // that left.
+    bool merge(peer_info const& news, mono_time now);
     void merge_about_self(peer_info const& news);
     void change_life(peer_entry& entry, peer_life life, mono_time now);
     void queue_update(peer_info const& info);
@@ -252,6 +258,8 @@
     milliseconds suspicion_time() const;
     std::optional<node_id> next_target();
     std::vector<node_id> random_peers(std::size_t count, node_id const& except);
+    void compare_tables(sends& out, gossip_message const& message,
+                        peer_endpoint const& from, mono_time now);
     void start_sync(sends& out, peer_endpoint const& to, mono_time now);
     void answer_sync(sends& out, gossip_message const& message,
                      peer_endpoint const& to);
@@ -283,8 +291,14 @@
     mono_time next_probe_{};
     mono_time next_dead_probe_{};
     mono_time next_sync_{};
+    mono_time next_urgent_{};
+    // Since when the tables of peers that were heard differ from this one.
+    std::optional<mono_time> differs_since_;
     std::uint64_t book_hash_ = 0;
     std::uint64_t version_ = 0;
+    // Hash of the table at a version; computed again when that has changed.
+    mutable std::uint64_t hash_ = 0;
+    mutable std::optional<std::uint64_t> hash_version_;
     bool superseded_ = false;
     bool left_ = false;
 };
--- a/src/libpollenhall/membership.cpp
+++ b/src/libpollenhall/membership.cpp
@@ -118,27 +118,30 @@
     ++version_;
 }
 
-void membership::merge(peer_info const& news, mono_time now)
+bool membership::merge(peer_info const& news, mono_time now)
 {
     if (news.node == self_.node)
     {
         merge_about_self(news);
-        return;
+        return false;
     }
     auto const found = peers_.find(news.node);
     if (found == peers_.end())
     {
         peers_.emplace(news.node, peer_entry{.info = news, .since = now});
         queue_update(news);
-        return;
+        return false;
     }
     auto& entry = found->second;
     if (!is_newer(news, entry.info))
-        return;
+        return false;
     if (entry.info.life != news.life)
         entry.since = now;
+    bool const urgent = news.life == peer_life::left ||
+                        news.upstream_state != entry.info.upstream_state;
     entry.info = news;
     queue_update(news);
+    return urgent;
 }
 
 void membership::merge_about_self(peer_info const& news)
@@ -501,9 +504,16 @@
         merge(message.sender, now);
         return out;
     }
-    merge(message.sender, now);
+    bool urgent = merge(message.sender, now);
     for (auto const& update : message.updates)
-        merge(update, now);
+        urgent = merge(update, now) || urgent;
+    // Each node passes urgent news on at once, once, at a bounded rate; what
+    // that misses travels with the probes.
+    if (urgent && now >= next_urgent_)
+    {
+        next_urgent_ = now + options_.urgent_interval;
+        send_urgent(out);
+    }
     switch (message.kind)
     {
     case gossip_kind::ping:
@@ -521,12 +531,28 @@
     case gossip_kind::rumour:
         break;
     }
-    bool const may_differ =
+    compare_tables(out, message, from, now);
+    return out;
+}
+
+void membership::compare_tables(sends& out, gossip_message const& message,
+                                peer_endpoint const& from, mono_time now)
+{
+    bool const tells =
         message.kind == gossip_kind::ping || message.kind == gossip_kind::ack;
-    if (may_differ && message.table_hash != table_hash() && updates_.empty() &&
-        now >= next_sync_)
+    if (!tells)
+        return;
+    if (message.table_hash == table_hash())
+    {
+        differs_since_.reset();
+        return;
+    }
+    if (!differs_since_)
+        differs_since_ = now;
+    bool const news_is_due =
+        updates_.empty() || now >= *differs_since_ + options_.sync_patience;
+    if (news_is_due && now >= next_sync_)
         start_sync(out, from, now);
-    return out;
 }
 
 void membership::answer_ping(sends& out, gossip_message const& message,
@@ -586,10 +612,13 @@
 
 std::uint64_t membership::table_hash() const
 {
-    std::uint64_t hash = hash_of(self_);
+    if (hash_version_ == version_)
+        return hash_;
+    hash_ = hash_of(self_);
     for (auto const& [node, entry] : peers_)
-        hash ^= hash_of(entry.info);
-    return hash;
+        hash_ ^= hash_of(entry.info);
+    hash_version_ = version_;
+    return hash_;
 }
 
 void membership::start_sync(sends& out, peer_endpoint const& to, mono_time now)
--- a/src/pollenhalld/control_plane.cpp
+++ b/src/pollenhalld/control_plane.cpp
@@ -660,6 +660,19 @@
     queries_.on_answer(push.request_id, std::move(answer));
 }
 
+std::size_t control_plane::count_accepting() const
+{
+    std::size_t count = 0;
+    members_.for_each_peer(
+        [&](peer_info const& peer)
+        {
+            if (is_live(peer.life) &&
+                upstream_chart_.has_flag(peer.upstream_state, "accepts-work"))
+                ++count;
+        });
+    return count;
+}
+
 control_snapshot control_plane::snapshot()
 {
     return call(
@@ -667,6 +680,7 @@
         {
             return control_snapshot{.gossip = socket_.counters(),
                                     .live_peers = members_.live_count(),
+                                    .accepting_peers = count_accepting(),
                                     .store_calls = store_.calls(),
                                     .store_reachable = store_.is_reachable(),
                                     .watching = watching_,
--- a/src/pollenhalld/control_plane.hpp
+++ b/src/pollenhalld/control_plane.hpp
@@ -69,6 +69,8 @@
 {
     gossip_counters gossip;
     std::size_t live_peers = 0;
+    /// Live peers whose upstream accepts work.
+    std::size_t accepting_peers = 0;
     std::uint64_t store_calls = 0;
     bool store_reachable = false;
     bool watching = false;
@@ -157,6 +159,7 @@
     [[nodiscard]] service_view
     candidates_of(std::vector<peer_info const*> const& hosts) const;
     [[nodiscard]] bool has_store_role() const;
+    [[nodiscard]] std::size_t count_accepting() const;
     void propose_roster(mono_time now);
     void answer_board(link_id link, std::int64_t request);
     void on_board(wire::board_push const& push);
--- a/src/pollenhalld/metrics.cpp
+++ b/src/pollenhalld/metrics.cpp
@@ -121,6 +121,9 @@
     page.add_gauge("pollenhall_store_watching",
                    "Whether this node watches the store",
                    control.watching ? 1 : 0);
+    page.add_gauge("pollenhall_accepting_peers",
+                   "Live peers whose upstream accepts work",
+                   static_cast<double>(control.accepting_peers));
     page.add_gauge("pollenhall_live_peers", "Peers that live",
                    static_cast<double>(control.live_peers));
 }
