--- a/src/pollenhalld/home_service.cpp
+++ b/src/pollenhalld/home_service.cpp
@@ -257,7 +257,8 @@
                                                 .deadline = call.deadline};
                 std::make_shared<call_driver>(
                     core_, std::move(call), options, ratio_, spread_,
-                    [this, key](call_result const& result) { on_end(key, result); })
+                    [this, key](call_result const& result)
+                    { on_end(key, result); })
                     ->start();
             },
             [&](key_is_running)
