A restarted home knows that its own predecessor is gone

The roster stayed at epoch 1: the node that proposes is the first by name, here the replaced one, and it looked for its predecessor among its peers, where a node never stands itself. Ruled out: the store (up), members that come and go (all alive in the status of every node).

Change: process_ends, in the decision library, tells from when on a process is certainly gone, its own predecessors included; it replaces two copies of that rule. A refusal counts only for a process whose peers had heard of it, as it listens before that. An entry asks the home of a key again, without spending a retry, while the home does not answer or does not take the key yet. A key that a sealed home gets is no longer answered 'not_run' by it: a newer epoch decides. New reasons home_gone and home_not_ready.

--- a/src/include/pollenhall/call_plan.hpp
+++ b/src/include/pollenhall/call_plan.hpp
@@ -77,6 +77,9 @@
     bool repeatable = true;
     /// Whether a call that was refused may be offered to another upstream.
     bool may_move = true;
+    /// Whether tries go to the home of a key. It knows keys that come back,
+    /// so it may be asked again without spending a retry.
+    bool asks_home = false;
     retry_lending lending = retry_lending::half;
     mono_time deadline{};
     backoff_options backoff{};
@@ -107,6 +110,7 @@
 private:
     retry_count lend();
     [[nodiscard]] bool allows_retry(try_result const& result) const;
+    [[nodiscard]] bool allows_asking_again(try_result const& result) const;
 
     call_plan_options options_;
     retry_budget budget_;
--- a/src/include/pollenhall/dispatch_queue.hpp
+++ b/src/include/pollenhall/dispatch_queue.hpp
@@ -41,14 +41,18 @@
     no_upstream,
     /// Retries are used up.
     retries_exhausted,
-    /// The key's home cannot be asked.
+    /// The key's home did not answer; it may be asked again.
     home_unreachable,
     /// The key is not acceptable.
     key_refused,
     /// The node is stopping.
     stopping,
     /// The upstream refused it.
-    upstream_refused
+    upstream_refused,
+    /// The key's home is gone for good and cannot have run it.
+    home_gone,
+    /// The key's home does not take the key yet; it may be asked again.
+    home_not_ready
 };
 
 /// The name used in headers, logs and reports, such as `queue_timeout`.
--- a/src/include/pollenhall/home_roster.hpp
+++ b/src/include/pollenhall/home_roster.hpp
@@ -95,9 +95,11 @@
     accepted,
     /// Another process is home.
     not_home,
-    /// The epoch is not active yet, or this node promised to take no such
-    /// key; it did not run here.
-    not_active
+    /// This process is home, but the epoch is not active yet; the key ran
+    /// nowhere.
+    not_active,
+    /// This node promised to take no such key; a newer epoch decides on it.
+    sealed
 };
 
 /// One node's part in the roster of one service. Not thread-safe.
--- a/src/include/pollenhall/io/calls.hpp
+++ b/src/include/pollenhall/io/calls.hpp
@@ -71,6 +71,8 @@
     load_hint load;
     /// Whether the upstream failed in a way that another may not.
     bool upstream_failed = false;
+    /// Whether a peer sent this; otherwise this node made it.
+    bool from_peer = false;
 };
 
 /// Receives the result of a call; called exactly once.
@@ -84,5 +86,7 @@
                          milliseconds retry_after = milliseconds{0});
 /// A call that may have run and has no answer.
 call_result make_unknown();
+/// A call whose key's home did not answer.
+call_result make_home_unreachable();
 
 } // namespace pollenhall
--- a/src/libpollenhall/call_plan.cpp
+++ b/src/libpollenhall/call_plan.cpp
@@ -43,6 +43,8 @@
     case refusal::quarantined:
     case refusal::retries_exhausted:
     case refusal::home_unreachable:
+    case refusal::home_gone:
+    case refusal::home_not_ready:
     case refusal::key_refused:
         break;
     }
@@ -94,12 +96,28 @@
     return false;
 }
 
+bool call_plan::allows_asking_again(try_result const& result) const
+{
+    return options_.asks_home && (result.reason == refusal::home_unreachable ||
+                                  result.reason == refusal::home_not_ready);
+}
+
 call_step call_plan::after(try_result const& result, retry_ratio& ratio,
                            mono_time now, std::uint64_t random)
 {
     budget_.give_back(result.returned, lent_);
     if (result.what != outcome::not_run)
         may_have_run_ = true;
+    // What a home that is gone was asked before, it did not run either.
+    if (result.reason == refusal::home_gone)
+        may_have_run_ = false;
+    if (allows_asking_again(result))
+    {
+        auto const pause = retry_backoff(tries_, random, options_.backoff);
+        if (now + pause >= options_.deadline)
+            return step_answer{};
+        return step_wait{.time = pause};
+    }
     if (!allows_retry(result))
         return step_answer{};
     auto const wait = std::max(result.retry_after,
--- a/src/libpollenhall/call_plan_test.cpp
+++ b/src/libpollenhall/call_plan_test.cpp
@@ -59,6 +59,54 @@
     }
 }
 
+TEST_CASE("a call that goes to the home of its key")
+{
+    call_plan plan({.repeatable = false,
+                    .may_move = false,
+                    .asks_home = true,
+                    .deadline = mono_time(seconds{10})},
+                   retry_budget(retry_count(0)));
+    plan.start();
+
+    SUBCASE("is asked again while the home does not answer, without a retry")
+    {
+        auto lost = make_result(outcome::unknown, refusal::home_unreachable);
+        lost.returned = retry_count(0);
+        for (int i = 0; i < 20; ++i)
+        {
+            CHECK(tries_again(plan, lost));
+            plan.resume();
+        }
+
+        SUBCASE("and may have run once it is given up")
+        {
+            CHECK(plan.may_have_run());
+        }
+        SUBCASE("and did not run if the home turns out to be gone")
+        {
+            CHECK_FALSE(tries_again(
+                plan, make_result(outcome::not_run, refusal::home_gone)));
+            CHECK_FALSE(plan.may_have_run());
+        }
+        SUBCASE("and may have run if the home refuses it afterwards")
+        {
+            CHECK_FALSE(tries_again(
+                plan, make_result(outcome::not_run, refusal::shed)));
+            CHECK(plan.may_have_run());
+        }
+    }
+    SUBCASE("is asked again until the home takes it, and did not run till then")
+    {
+        CHECK(tries_again(
+            plan, make_result(outcome::not_run, refusal::home_not_ready)));
+        CHECK_FALSE(plan.may_have_run());
+    }
+    SUBCASE("is given up when the home itself cannot tell")
+    {
+        CHECK_FALSE(tries_again(plan, make_result(outcome::unknown)));
+    }
+}
+
 TEST_CASE("a repeatable call")
 {
     auto plan = make_plan(true);
@@ -103,7 +151,7 @@
         auto const what = static_cast<outcome>(i);
         CHECK(parse_outcome(to_string(what)) == what);
     }
-    for (int i = 0; i < 12; ++i)
+    for (int i = 0; i < 14; ++i)
     {
         auto const reason = static_cast<refusal>(i);
         CHECK(parse_refusal(to_string(reason)) == reason);
--- a/src/libpollenhall/dispatch_queue.cpp
+++ b/src/libpollenhall/dispatch_queue.cpp
@@ -10,11 +10,12 @@
 namespace
 {
 
-constexpr std::array<std::string_view, 12> refusal_names{
+constexpr std::array<std::string_view, 14> refusal_names{
     "shed",        "queue_timeout",     "deadline",
     "draining",    "cancelled",         "quarantined",
     "no_upstream", "retries_exhausted", "home_unreachable",
-    "key_refused", "stopping",          "upstream_refused"};
+    "key_refused", "stopping",          "upstream_refused",
+    "home_gone",   "home_not_ready"};
 
 // Weight of the newest call in the mean of service times.
 constexpr double service_time_weight = 0.1;
--- a/src/libpollenhall/home_roster.cpp
+++ b/src/libpollenhall/home_roster.cpp
@@ -263,7 +263,7 @@
 {
     auto const* const period = history_.find(key.issued());
     if (period == nullptr)
-        return home_verdict::not_active;
+        return home_verdict::not_home;
     if (home_of(*period, key) != self_)
         return home_verdict::not_home;
     if (!is_active(*period))
@@ -271,7 +271,7 @@
     // A promise for a later epoch holds even before its roster arrives.
     if (sealed_from_ && key.issued() >= *sealed_from_ &&
         period->number < sealed_epoch_)
-        return home_verdict::not_active;
+        return home_verdict::sealed;
     return home_verdict::accepted;
 }
 
--- /dev/null
+++ b/src/libpollenhall/process_ends.cpp
@@ -0,0 +1,44 @@
+// Implements the ends of processes.
+
+#include <pollenhall/process_ends.hpp>
+
+#include <algorithm>
+
+namespace pollenhall
+{
+namespace
+{
+constexpr std::size_t max_remembered = 4'096;
+} // namespace
+
+void process_ends::on_refused(roster_member const& process, wall_time now)
+{
+    if (refused_.size() >= max_remembered)
+        refused_.erase(refused_.begin());
+    refused_.try_emplace(process, now);
+}
+
+std::optional<wall_time> process_ends::end_of(roster_member const& process,
+                                              peer_info const* peer) const
+{
+    if (process.node == self_.node)
+        return process.boot < self_.boot ? std::optional(started_)
+                                         : std::nullopt;
+    if (peer == nullptr)
+        return std::nullopt;
+    auto const refused = refused_.find(process);
+    bool const nothing_listens = refused != refused_.end();
+    if (peer->boot > process.boot)
+    {
+        auto const successor_start =
+            wall_time(milliseconds(peer->boot.value()));
+        return nothing_listens ? std::min(refused->second, successor_start)
+                               : successor_start;
+    }
+    bool const held_for_dead =
+        peer->boot == process.boot && peer->life == peer_life::dead;
+    return held_for_dead && nothing_listens ? std::optional(refused->second)
+                                            : std::nullopt;
+}
+
+} // namespace pollenhall
--- a/src/libpollenhall_io/wire_codec.cpp
+++ b/src/libpollenhall_io/wire_codec.cpp
@@ -184,6 +184,13 @@
     return result;
 }
 
+call_result make_home_unreachable()
+{
+    auto result = make_unknown();
+    result.reason = refusal::home_unreachable;
+    return result;
+}
+
 call_result make_unknown()
 {
     return {};
@@ -331,6 +338,7 @@
 call_result from_wire(wire::call_answer&& answer)
 {
     call_result result;
+    result.from_peer = true;
     result.what = static_cast<outcome>(std::clamp(
         static_cast<int>(answer.outcome), static_cast<int>(outcome::completed),
         static_cast<int>(outcome::unknown)));
--- a/src/pollenhalld/call_entry.cpp
+++ b/src/pollenhalld/call_entry.cpp
@@ -208,6 +208,7 @@
     // The home of a key decides on its tries; the entry only asks it.
     call_plan_options const options{.repeatable = kind.repeatable,
                                     .may_move = !has_key,
+                                    .asks_home = has_key,
                                     .lending = lending_of(kind),
                                     .deadline = call.deadline};
     auto& ratio = has_key ? home_ratio_ : state_of(call.kind.service).ratio;
@@ -362,18 +363,26 @@
                                    call_handler handler)
 {
     auto const lookup = home_.find_home(call.kind.service, *call.key);
-    if (lookup.home && lookup.home->node == core_.settings.name)
+    auto const answer = [&](call_result result)
     {
-        home_.run(call, std::move(handler));
-        return [] {};
-    }
-    if (lookup.certainly_not_run || !lookup.home)
-    {
-        auto result = lookup.certainly_not_run
-                          ? make_refusal(refusal::home_unreachable, retry_soon)
-                          : make_unknown();
         result.returned = call.lent;
         post_result(std::move(handler), std::move(result));
+        return try_canceller([] {});
+    };
+    switch (lookup.presence)
+    {
+    case home_presence::not_known:
+        return answer(make_home_unreachable());
+    case home_presence::gone:
+        return answer(make_unknown());
+    case home_presence::never_ran:
+        return answer(make_refusal(refusal::home_gone, retry_soon));
+    case home_presence::present:
+        break;
+    }
+    if (lookup.home == core_.settings.name)
+    {
+        home_.run(call, std::move(handler));
         return [] {};
     }
     // What was not sent now may have been sent before by another entry, so
@@ -381,18 +390,15 @@
     auto truthful =
         [handler = std::move(handler), lent = call.lent](call_result result)
     {
-        bool const not_sent = result.what == outcome::not_run &&
-                              result.reason == refusal::no_upstream &&
-                              result.load.limit == 0;
-        if (not_sent)
+        if (!result.from_peer)
         {
-            result = make_unknown();
-            result.reason = refusal::home_unreachable;
-            result.returned = lent;
+            bool const was_sent = result.what == outcome::unknown;
+            result = make_home_unreachable();
+            result.returned = was_sent ? retry_count(0) : lent;
         }
         handler(std::move(result));
     };
-    return send_to(lookup.home->node, call, std::move(truthful));
+    return send_to(lookup.home, call, std::move(truthful));
 }
 
 try_canceller call_entry::serve_peer(forwarded_call call, call_handler handler)
--- a/src/pollenhalld/home_service.cpp
+++ b/src/pollenhalld/home_service.cpp
@@ -14,6 +14,10 @@
 // Lead of clocks that homes accept; see `key_ledger_options`.
 constexpr milliseconds max_clock_lead = key_ledger_options{}.max_clock_lead;
 constexpr milliseconds retry_soon{1'000};
+// Time between two searches for the process behind an endpoint that refuses.
+constexpr milliseconds refusal_lookup_interval{1'000};
+// Most endpoints that are remembered as refusing.
+constexpr std::size_t max_remembered = 4'096;
 
 std::size_t size_of(call_result const& result)
 {
@@ -37,7 +41,7 @@
 home_service::home_service(traffic_core& core, retry_ratio& ratio,
                            try_sender spread)
     : core_(core), ratio_(ratio), spread_(std::move(spread)),
-      started_(wall_now())
+      ends_({.node = core.settings.name, .boot = core.boot}, wall_now())
 {
 }
 
@@ -64,8 +68,8 @@
     ledger_.expire(wall_now());
 }
 
-// A member is certainly gone if it said goodbye, if a later process has its
-// name, or if it is held for dead and nothing listens at its endpoint.
+// A member is certainly gone if it said goodbye, or by what `process_ends`
+// knows.
 void home_service::note_departures(home_keeper& item, node_view const& view)
 {
     auto const* const latest = item.history().latest();
@@ -74,15 +78,10 @@
     auto const check = [&](roster_member const& member)
     {
         auto const peer = view.peers.find(member.node);
-        if (peer == view.peers.end())
-            return;
-        auto const& info = peer->second;
-        bool const said_goodbye =
-            info.boot == member.boot && info.life == peer_life::left;
-        bool const nothing_listens = info.boot == member.boot &&
-                                     info.life == peer_life::dead &&
-                                     refused_.contains(info.endpoint);
-        if (info.boot > member.boot || said_goodbye || nothing_listens)
+        bool const said_goodbye = peer != view.peers.end() &&
+                                  peer->second.boot == member.boot &&
+                                  peer->second.life == peer_life::left;
+        if (said_goodbye || end_of(member, view))
             item.on_gone(member);
     };
     for (auto const& member : latest->members)
@@ -153,87 +152,97 @@
 
 void home_service::on_refused(peer_endpoint const& endpoint)
 {
-    refused_[endpoint] = wall_now();
-    constexpr std::size_t max_remembered = 4'096;
-    if (refused_.size() > max_remembered)
-        refused_.erase(refused_.begin());
+    auto const now = mono_now();
+    auto const [lately, first_time] = refused_lately_.emplace(endpoint, now);
+    if (!first_time && now < lately->second + refusal_lookup_interval)
+        return;
+    lately->second = now;
+    if (refused_lately_.size() >= max_remembered)
+        refused_lately_.clear();
+    auto const view = core_.view.get();
+    for (auto const& [node, info] : view->peers)
+    {
+        if (info.endpoint == endpoint)
+            ends_.on_refused({.node = node, .boot = info.boot}, wall_now());
+    }
+}
+
+std::optional<wall_time> home_service::end_of(roster_member const& process,
+                                              node_view const& view) const
+{
+    auto const peer = view.peers.find(process.node);
+    return ends_.end_of(process,
+                        peer == view.peers.end() ? nullptr : &peer->second);
 }
 
 home_lookup home_service::find_home(service_name const& service,
                                     idempotency_key const& key) const
 {
-    home_lookup result;
     auto const found = keepers_.find(service);
     if (found == keepers_.end())
-        return result;
-    auto const* const period = found->second.history().find(key.issued());
+        return {};
+    auto const& history = found->second.history();
+    auto const* const period = history.find(key.issued());
     if (period == nullptr)
     {
         // Nobody is home of a key from before the first epoch. A shortened
         // history no longer tells.
-        result.certainly_not_run = found->second.history().starts_with_first();
-        return result;
-    }
-    result.home = home_of(*period, key);
-    auto const view = core_.view.get();
-    auto const peer = view->peers.find(result.home->node);
-    if (peer == view->peers.end())
-        return result;
-    // The process that was home is gone and nobody took its place. It can
-    // have run only keys that were issued before its end, plus the lead of
-    // clocks.
-    auto const& info = peer->second;
-    if (info.boot > result.home->boot)
-    {
-        auto const successor_start = wall_time(milliseconds(info.boot.value()));
-        result.certainly_not_run =
-            key.issued() > successor_start + max_clock_lead;
-        return result;
+        if (history.starts_with_first())
+            return {.presence = home_presence::never_ran, .home = {}};
+        return {};
     }
-    auto const refused = refused_.find(info.endpoint);
-    if (info.life == peer_life::dead && refused != refused_.end())
-        result.certainly_not_run =
-            key.issued() > refused->second + max_clock_lead;
-    return result;
+    auto const& home = home_of(*period, key);
+    // It can have run only keys that were issued before its end, plus the
+    // lead of clocks.
+    if (auto const end = end_of(home, *core_.view.get()))
+        return {.presence = key.issued() > *end + max_clock_lead
+                                ? home_presence::never_ran
+                                : home_presence::gone,
+                .home = {}};
+    return {.presence = home_presence::present, .home = home.node};
 }
 
 call_result home_service::refuse_foreign_key(home_keeper const& item,
                                              idempotency_key const& key) const
 {
     auto const* const period = item.history().find(key.issued());
-    bool const was_predecessor =
-        period != nullptr && home_of(*period, key).node == core_.settings.name;
-    // Keys of this node's former process are its own to judge: the process
-    // is gone, so what it cannot have seen did not run.
-    if (was_predecessor && key.issued() > started_ + max_clock_lead)
-        return make_refusal(refusal::key_refused, retry_soon);
-    auto result = make_unknown();
-    result.reason = refusal::home_unreachable;
-    return result;
+    if (period == nullptr)
+        return make_home_unreachable();
+    // Keys of this node's former process are its own to judge: what that one
+    // cannot have seen did not run.
+    auto const& home = home_of(*period, key);
+    if (home.node != core_.settings.name)
+        return make_home_unreachable();
+    auto const end = end_of(home, *core_.view.get());
+    if (end && key.issued() > *end + max_clock_lead)
+        return make_refusal(refusal::home_gone, retry_soon);
+    return make_unknown();
 }
 
 void home_service::run(forwarded_call call, call_handler handler)
 {
     auto& item = keeper(call.kind.service);
     auto const& key = *call.key;
+    auto const refuse = [&](call_result result)
+    {
+        result.returned = call.lent;
+        handler(std::move(result));
+    };
     switch (item.judge(key))
     {
     case home_verdict::accepted:
         start(std::move(call), std::move(handler));
         return;
     case home_verdict::not_active:
-    {
-        auto result = make_refusal(refusal::key_refused, retry_soon);
-        result.returned = call.lent;
-        handler(std::move(result));
+        refuse(make_refusal(refusal::home_not_ready, retry_soon));
+        return;
+    case home_verdict::sealed:
+        refuse(make_home_unreachable());
         return;
-    }
     case home_verdict::not_home:
-        break;
+        refuse(refuse_foreign_key(item, key));
+        return;
     }
-    auto result = refuse_foreign_key(item, key);
-    result.returned = call.lent;
-    handler(std::move(result));
 }
 
 void home_service::start(forwarded_call call, call_handler handler)
--- a/src/pollenhalld/home_service.hpp
+++ b/src/pollenhalld/home_service.hpp
@@ -8,6 +8,7 @@
 
 #include <pollenhall/home_roster.hpp>
 #include <pollenhall/key_ledger.hpp>
+#include <pollenhall/process_ends.hpp>
 #include <pollenhall/roster_proposer.hpp>
 
 #include <asio/steady_timer.hpp>
@@ -21,12 +22,24 @@
 {
 
 /// What an entry learns when it looks for the home of a key.
+enum class home_presence
+{
+    /// No roster that covers the key is known here yet.
+    not_known,
+    /// The home may be asked.
+    present,
+    /// The home is gone for good; the key may have run there.
+    gone,
+    /// The key certainly did not run and will not.
+    never_ran
+};
+
+/// The home of a key.
 struct home_lookup
 {
-    /// Absent if no roster covers the key.
-    std::optional<roster_member> home;
-    /// Whether the key certainly did not run and will not.
-    bool certainly_not_run = false;
+    home_presence presence = home_presence::not_known;
+    /// Set if `presence` is `present`.
+    node_id home;
 };
 
 /// The service. Belongs to the traffic thread.
@@ -64,6 +77,8 @@
     void ask_for_promises(home_keeper& item, node_view const& view);
     void start(forwarded_call call, call_handler handler);
     void on_end(idempotency_key const& key, call_result const& result);
+    [[nodiscard]] std::optional<wall_time> end_of(roster_member const& process,
+                                                  node_view const& view) const;
     [[nodiscard]] call_result
     refuse_foreign_key(home_keeper const& item,
                        idempotency_key const& key) const;
@@ -75,9 +90,9 @@
     std::map<service_name, home_keeper> keepers_;
     // Callers that wait for a running key.
     std::map<idempotency_key, std::vector<call_handler>> waiters_;
-    // Endpoints whose host refused a connection lately.
-    std::map<peer_endpoint, wall_time> refused_;
-    wall_time started_;
+    // Endpoints that refused lately, so that each is looked up rarely.
+    std::map<peer_endpoint, mono_time> refused_lately_;
+    process_ends ends_;
 };
 
 } // namespace pollenhall
--- a/src/pollenhalld/traffic_core.hpp
+++ b/src/pollenhalld/traffic_core.hpp
@@ -25,14 +25,18 @@
 struct traffic_core
 {
     traffic_core(asio::io_context& io, node_settings const& node,
-                 view_holder const& views, std::uint64_t seed)
-        : context(io), settings(node), view(views), hops(seed), random(seed)
+                 view_holder const& views, boot_id boot_number,
+                 std::uint64_t seed)
+        : context(io), settings(node), view(views), boot(boot_number),
+          hops(seed), random(seed)
     {
     }
 
     asio::io_context& context;
     node_settings const& settings;
     view_holder const& view;
+    /// This process among those of the node's name.
+    boot_id boot;
     hop_registry hops;
     crash_guard guard;
     board counts;
--- a/src/pollenhalld/traffic_plane.cpp
+++ b/src/pollenhalld/traffic_plane.cpp
@@ -19,7 +19,7 @@
                              traffic_events events)
     : settings_(settings), events_(std::move(events)),
       work_(asio::make_work_guard(context_)),
-      core_(context_, settings, view,
+      core_(context_, settings, view, boot,
             std::hash<node_id>{}(settings.name) ^
                 static_cast<std::uint64_t>(boot.value()) << 20U),
       tick_timer_(context_)
