Tests take ports that outgoing connections cannot take

Ports were chosen by binding to 0, which is the range from which the kernel serves outgoing connections, so a port could be taken between its choice and the daemon's start. That this was it is likely, not seen: the message did not say whether a daemon had ended.

Change: ports come from 12,000 to 31,999, one after the other from a random start; a failed wait names the daemons that ended, with the end of their log.

--- a/testsuite/deployment.py
+++ b/testsuite/deployment.py
@@ -6,6 +6,7 @@
 
 import configparser
 import http.client
+import itertools
 import json
 import os
 import pathlib
@@ -20,23 +21,28 @@
 ADDRESS = "127.0.0.1"
 
 
-def free_ports(count):
-    """Returns ports that no process listens on, for TCP and UDP."""
-    sockets, ports = [], []
-    while len(ports) < count:
-        tcp = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        sockets += [tcp, udp]
-        tcp.bind((ADDRESS, 0))
-        port = tcp.getsockname()[1]
+# Below the range from which the kernel takes ports for outgoing connections;
+# a port from that range can be taken between its choice and its use.
+PORTS = itertools.cycle(range(12_000, 32_000))
+for _ in range(secrets.randbelow(20_000)):
+    next(PORTS)
+
+
+def is_free(port):
+    """Whether TCP and UDP can listen on a port now."""
+    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as tcp, \
+            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
         try:
+            tcp.bind((ADDRESS, port))
             udp.bind((ADDRESS, port))
         except OSError:
-            continue
-        ports.append(port)
-    for item in sockets:
-        item.close()
-    return ports
+            return False
+    return True
+
+
+def free_ports(count):
+    """Returns ports that no process listens on, for TCP and UDP."""
+    return list(itertools.islice(filter(is_free, PORTS), count))
 
 
 def make_key(issued_ms=None):
@@ -274,7 +280,17 @@
                     return False
             return True
 
-        wait_until(complete, seconds, f"{expected} nodes know each other")
+        try:
+            wait_until(complete, seconds, f"{expected} nodes know each other")
+        except TimeoutError as error:
+            raise TimeoutError(f"{error}; {self.describe_ended()}") from None
+
+    def describe_ended(self):
+        """The daemons that ended, each with the end of its log."""
+        ended = [f"{node.name} ended: {node.daemon.log()[-300:]}"
+                 for node in self.nodes.values()
+                 if node.daemon and not node.daemon.running]
+        return "\n".join(ended) or "all daemons run"
 
     def wait_ready(self, seconds=20):
         """Waits until every daemon has declarations in force."""
