Calls go only to peers that are known to read; keyed tries wait in silence

The home of a key sent its tries to the frozen node, again and again: a connection given up is not the upstream's fault, so the router went on choosing it, the kernel took the bytes, and nobody could tell whether they had run.

Change: a call is sent only once the peer's first frame has arrived on the connection, and not while a heartbeat is unanswered; until then it can be taken back and is truthfully 'not run', so it goes to another upstream. On a connection that went silent, a home's tries keep waiting for their answer up to their deadline; new calls take a new connection. A cancelled call that was not sent is taken out of the queue instead of being followed by its cancellation.

--- a/src/include/pollenhall/link_monitor.hpp
+++ b/src/include/pollenhall/link_monitor.hpp
@@ -1,7 +1,8 @@
 // Finds a connection between nodes that went silent without being closed.
 // Traffic on it proves that it works; while an answer is due and nothing
 // arrives, a heartbeat asks, and if that stays unanswered too the connection
-// is given up.
+// is given up. A call is sent only while the peer is known to read: after
+// its first frame, and not while a heartbeat is unanswered.
 
 #pragma once
 
@@ -52,6 +53,13 @@
     {
         quiet_since_ = now;
         heartbeat_sent_ = false;
+        was_heard_ = true;
+    }
+
+    /// Whether the peer is known to read what is sent now.
+    [[nodiscard]] bool may_send_calls() const
+    {
+        return was_heard_ && !heartbeat_sent_;
     }
 
     /// Decides what to do now; call it every few tens of milliseconds.
@@ -72,6 +80,7 @@
     link_monitor_options options_;
     int answers_due_ = 0;
     mono_time quiet_since_{};
+    bool was_heard_ = false;
     bool heartbeat_sent_ = false;
     mono_time heartbeat_time_{};
 };
--- a/src/libpollenhall/link_monitor_test.cpp
+++ b/src/libpollenhall/link_monitor_test.cpp
@@ -26,6 +26,17 @@
         CHECK(monitor.tick(start + milliseconds{560}) ==
               link_action::send_heartbeat);
     }
+    SUBCASE("takes calls only while the peer is known to read")
+    {
+        CHECK_FALSE(monitor.may_send_calls());
+        monitor.on_received(start + milliseconds{300});
+        CHECK(monitor.may_send_calls());
+        CHECK(monitor.tick(start + milliseconds{560}) ==
+              link_action::send_heartbeat);
+        CHECK_FALSE(monitor.may_send_calls());
+        monitor.on_received(start + milliseconds{570});
+        CHECK(monitor.may_send_calls());
+    }
     SUBCASE("is left alone once nothing is due")
     {
         monitor.on_received(start + milliseconds{300});
--- a/src/libpollenhall_io/peer_connection.cpp
+++ b/src/libpollenhall_io/peer_connection.cpp
@@ -10,7 +10,8 @@
 #include <asio/read.hpp>
 #include <asio/write.hpp>
 
-#include <set>
+#include <utility>
+#include <vector>
 
 namespace pollenhall
 {
@@ -33,27 +34,28 @@
     write_next();
 }
 
-void peer_connection::send(std::string bytes,
-                           std::optional<correlation_id> call)
+void peer_connection::send(std::string bytes)
 {
     if (closed_)
         return;
     last_use_ = mono_now();
-    unsent_.push_back({.bytes = std::move(bytes), .call = call});
+    unsent_.push_back(std::move(bytes));
     write_next();
 }
 
 void peer_connection::send_call(std::string bytes, correlation_id id,
-                                call_handler handler)
+                                pending_call call)
 {
-    if (closed_)
+    if (closed_ || retired_)
     {
-        handler(make_refusal(refusal::no_upstream));
+        call.handler(make_refusal(refusal::no_upstream));
         return;
     }
-    waiting_.emplace(id, std::move(handler));
-    monitor_.on_sent(mono_now());
-    send(std::move(bytes), id);
+    last_use_ = mono_now();
+    waiting_.emplace(id, std::move(call));
+    monitor_.on_sent(last_use_);
+    unsent_calls_.emplace(id, std::move(bytes));
+    write_next();
 }
 
 void peer_connection::settle(correlation_id id, call_result result)
@@ -62,36 +64,52 @@
     if (node.empty())
         return;
     monitor_.on_settled();
-    node.mapped()(std::move(result));
+    node.mapped().handler(std::move(result));
+    close_if_done();
 }
 
-bool peer_connection::forget(correlation_id id)
+forgotten_call peer_connection::forget(correlation_id id)
 {
     if (waiting_.erase(id) == 0)
-        return false;
+        return forgotten_call::not_here;
     monitor_.on_settled();
+    bool const taken_back = unsent_calls_.erase(id) > 0;
+    close_if_done();
+    return taken_back ? forgotten_call::taken_back : forgotten_call::sent;
+}
+
+// Calls are sent in the order of their numbers.
+bool peer_connection::take_next_frame()
+{
+    if (!unsent_.empty())
+    {
+        current_ = {.bytes = std::move(unsent_.front()), .call = {}};
+        unsent_.pop_front();
+        return true;
+    }
+    if (unsent_calls_.empty() || !monitor_.may_send_calls())
+        return false;
+    auto const first = unsent_calls_.begin();
+    current_ = {.bytes = std::move(first->second), .call = first->first};
+    unsent_calls_.erase(first);
     return true;
 }
 
 void peer_connection::write_next()
 {
-    if (writing_ || unsent_.empty() || closed_ || !started_)
+    if (writing_ || closed_ || !started_ || !take_next_frame())
         return;
     writing_ = true;
     auto self = shared_from_this();
-    asio::async_write(socket_, asio::buffer(unsent_.front().bytes),
+    asio::async_write(socket_, asio::buffer(current_.bytes),
                       [self](asio::error_code error, std::size_t size)
                       {
                           self->writing_ = false;
                           self->counters_->bytes_sent += size;
                           if (error)
-                          {
                               self->close();
-                              return;
-                          }
-                          if (!self->unsent_.empty())
-                              self->unsent_.pop_front();
-                          self->write_next();
+                          else
+                              self->write_next();
                       });
 }
 
@@ -141,6 +159,7 @@
         return;
     }
     monitor_.on_received(mono_now());
+    write_next();
     if (frame->__isset.answer)
     {
         last_use_ = mono_now();
@@ -184,35 +203,61 @@
     auto self = shared_from_this();
     asio::error_code ignored;
     socket_.close(ignored);
-    // The frame being written may have arrived; those behind it did not.
-    std::set<correlation_id> never_sent;
-    for (std::size_t i = writing_ ? 1 : 0; i < unsent_.size(); ++i)
-    {
-        if (unsent_[i].call)
-            never_sent.insert(*unsent_[i].call);
-    }
     unsent_.clear();
-    auto waiting = std::move(waiting_);
-    waiting_.clear();
     callbacks_.on_closed(*this);
-    for (auto& [id, handler] : waiting)
-        handler(never_sent.contains(id) ? make_refusal(refusal::no_upstream)
-                                        : make_unknown());
+    end_calls(false);
 }
 
-bool peer_connection::check(mono_time now)
+// A frame that was begun may have arrived; those behind it did not.
+void peer_connection::end_calls(bool keep_patient)
+{
+    auto const never_sent = std::exchange(unsent_calls_, {});
+    std::vector<std::pair<correlation_id, pending_call>> ended;
+    for (auto call = waiting_.begin(); call != waiting_.end();)
+    {
+        bool const sent = !never_sent.contains(call->first);
+        if (keep_patient && sent && call->second.waits_in_silence)
+        {
+            ++call;
+            continue;
+        }
+        ended.emplace_back(call->first, std::move(call->second));
+        call = waiting_.erase(call);
+    }
+    for (auto& [id, call] : ended)
+        call.handler(never_sent.contains(id)
+                         ? make_refusal(refusal::no_upstream)
+                         : make_unknown());
+}
+
+void peer_connection::retire()
+{
+    auto self = shared_from_this();
+    retired_ = true;
+    callbacks_.on_retired(*this);
+    end_calls(true);
+    close_if_done();
+}
+
+void peer_connection::close_if_done()
+{
+    if (retired_ && waiting_.empty())
+        close();
+}
+
+void peer_connection::check(mono_time now)
 {
     switch (monitor_.tick(now))
     {
     case link_action::none:
-        return true;
+        return;
     case link_action::send_heartbeat:
     {
         wire::frame question;
         question.__set_beat({});
         question.beat.reply_wanted = true;
         send(encode_frame(question));
-        return true;
+        return;
     }
     case link_action::give_up:
         break;
@@ -221,8 +266,7 @@
     log_event("peer_link_silent", log_level::warning)
         .add("peer", peer.value())
         .add("calls", static_cast<std::int64_t>(waiting_.size()));
-    close();
-    return false;
+    retire();
 }
 
 } // namespace pollenhall
--- a/src/libpollenhall_io/peer_links.cpp
+++ b/src/libpollenhall_io/peer_links.cpp
@@ -49,10 +49,12 @@
     void connect(connection_pointer const& connection, peer_endpoint const& to);
     void on_connected(connection_pointer const& connection,
                       peer_endpoint const& to, asio::error_code error);
+    void send_cancel(peer_connection& connection, correlation_id id);
     std::string hello() const;
     void on_frame(peer_connection& connection, wire::frame&& frame);
     void accept_hello(peer_connection& connection, wire::hello const& hello);
     void on_closed(peer_connection& connection);
+    void on_retired(peer_connection& connection);
     void schedule_check();
     void check_all();
 
@@ -67,6 +69,8 @@
     bool closed_ = false;
     // Connections that this node opened, one for each peer.
     std::map<peer_endpoint, connection_pointer> opened_;
+    // Opened ones that went silent, with calls that wait for an answer.
+    std::map<link_id, connection_pointer> retired_;
     // Connections that peers opened.
     std::map<link_id, connection_pointer> accepted_;
 };
@@ -132,7 +136,9 @@
             .on_frame = [this](peer_connection& connection, wire::frame&& frame)
             { on_frame(connection, std::move(frame)); },
             .on_closed = [this](peer_connection& connection)
-            { on_closed(connection); }});
+            { on_closed(connection); },
+            .on_retired = [this](peer_connection& connection)
+            { on_retired(connection); }});
 }
 
 std::string peer_links::implementation::hello() const
@@ -232,6 +238,15 @@
         callbacks_.on_closed(connection.id());
         return;
     }
+    if (retired_.erase(connection.id()) > 0)
+        return;
+    std::erase_if(opened_, [&](auto const& item)
+                  { return item.second->id() == connection.id(); });
+}
+
+void peer_links::implementation::on_retired(peer_connection& connection)
+{
+    retired_.emplace(connection.id(), connection.shared_from_this());
     std::erase_if(opened_, [&](auto const& item)
                   { return item.second->id() == connection.id(); });
 }
@@ -245,23 +260,39 @@
     frame.__set_request(to_wire(call, id, mono_now()));
     // The map may drop the connection while it is in use here.
     auto const connection = connection_to(to);
-    connection->send_call(encode_frame(frame), id, std::move(handler));
+    // The home of a key cannot send it elsewhere, so it waits for the truth.
+    connection->send_call(
+        encode_frame(frame), id,
+        {.handler = std::move(handler), .waits_in_silence = call.delegated});
     return id;
 }
 
 void peer_links::implementation::cancel(peer_endpoint const& to,
                                         correlation_id id)
 {
-    auto const found = opened_.find(to);
-    if (found == opened_.end())
-        return;
-    auto const connection = found->second;
-    if (!connection->forget(id))
+    std::vector<connection_pointer> candidates;
+    if (auto const found = opened_.find(to); found != opened_.end())
+        candidates.push_back(found->second);
+    for (auto const& [link, connection] : retired_)
+        candidates.push_back(connection);
+    for (auto const& connection : candidates)
+    {
+        auto const what = connection->forget(id);
+        if (what == forgotten_call::not_here)
+            continue;
+        if (what == forgotten_call::sent)
+            send_cancel(*connection, id);
         return;
+    }
+}
+
+void peer_links::implementation::send_cancel(peer_connection& connection,
+                                             correlation_id id)
+{
     wire::frame frame;
     frame.__set_cancel({});
     frame.cancel.call_id = id.value();
-    connection->send(encode_frame(frame));
+    connection.send(encode_frame(frame));
 }
 
 void peer_links::implementation::post(peer_endpoint const& to,
@@ -342,6 +373,8 @@
         connections.push_back(connection);
     for (auto const& [id, connection] : accepted_)
         connections.push_back(connection);
+    for (auto const& [id, connection] : retired_)
+        connections.push_back(connection);
     for (auto const& connection : connections)
         connection->close();
 }
