--- a/idl/operator.thrift
+++ b/idl/operator.thrift
@@ -127,7 +127,13 @@
   8: required i64 retries,
   9: required i64 shed,
   10: required i64 upstream_runs,
-  11: required i64 runs_for_others
+  11: required i64 runs_for_others,
+  /** Time of those runs on the upstream, ms. */
+  12: required i64 lent_ms,
+  /** Runs of this member's requests on upstreams of other members. */
+  13: required i64 runs_borrowed,
+  /** Time of those runs on the upstream, ms. */
+  14: required i64 borrowed_ms
 }
 
 struct report_reply {
@@ -137,6 +143,78 @@
   4: required i32 nodes_known
 }
 
+/** How requests or calls ended in one window. */
+struct burn_window_line {
+  /** Length: `5m`, `30m`, `1h` or `6h`. */
+  1: required string window,
+  /** Number of requests by the way they ended; names as in docs/reports.md. */
+  2: required map<string, i64> ends,
+  /** Requests that the objective judges, and those that missed it. */
+  3: required i64 judged,
+  4: required i64 bad,
+  /** 1 uses the error budget up exactly over the objective's period. */
+  5: required double burn_rate
+}
+
+/** One kind of request of the member. */
+struct burn_kind {
+  1: required string service_name,
+  2: required string kind,
+  3: required string importance,
+  /** Share of requests that are to end in time, 0 to 1. */
+  4: required double objective,
+  /** Part of the error budget of the last 6 h that is left. */
+  5: required double budget_left,
+  6: required list<burn_window_line> windows,
+  /** `page` if 5m and 1h burn at 14.4 or more, else `ticket` if 30m and 6h
+      burn at 6 or more, else empty. */
+  7: required string alert
+}
+
+/** What the upstream beside one node did for a kind in the last hour. */
+struct burn_upstream {
+  1: required string node,
+  2: required string zone,
+  3: required string service_name,
+  4: required string kind,
+  5: required map<string, i64> ends
+}
+
+/** A time in which the member's requests were shed. */
+struct burn_episode {
+  /** Seconds since the Unix epoch; first and last second of shedding. */
+  1: required i64 start_second,
+  2: required i64 end_second,
+  /** Seconds until requests completed again; -1 if not seen yet. */
+  3: required i64 recovery_s
+}
+
+/** One second of the member's requests. */
+struct burn_second {
+  1: required i64 second,
+  2: required i64 ended,
+  3: required i64 in_time,
+  4: required i64 shed
+}
+
+struct burn_reply {
+  1: required string member,
+  /** Seconds since the Unix epoch. */
+  2: required i64 made_at,
+  3: required list<burn_kind> kinds,
+  4: required list<burn_upstream> upstreams,
+  5: required list<burn_episode> episodes,
+  /** The last ten minutes; seconds without requests are left out. */
+  6: required list<burn_second> seconds,
+  7: required i32 nodes_heard,
+  8: required i32 nodes_known,
+  /** Nodes heard that started within the last 6 h; what their predecessors
+      counted is lost. */
+  9: required i32 nodes_restarted,
+  10: required i64 kept_while_shedding,
+  11: required i64 left_out
+}
+
 /** The call was refused; `message` says why. */
 exception operator_error {
   1: required string message
@@ -166,5 +244,8 @@
   void undrain() throws (1: operator_error error),
 
   /** The member's board, summed over all nodes that answer. */
-  report_reply report(1: string member) throws (1: operator_error error)
+  report_reply report(1: string member) throws (1: operator_error error),
+
+  /** How fast the member's error budgets burn, and why. */
+  burn_reply burn(1: string member) throws (1: operator_error error)
 }
--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -197,11 +197,49 @@
   10: required i64 shed,
   11: required i64 upstream_runs,
   /** Runs for requests that another member owns. */
-  12: required i64 runs_for_others
+  12: required i64 runs_for_others,
+  /** Time of those runs on the upstream, ms. */
+  13: optional i64 lent_ms,
+  /** Runs of this member's requests on upstreams of other members. */
+  14: optional i64 runs_borrowed,
+  /** Time of those runs on the upstream, ms. */
+  15: optional i64 borrowed_ms
+}
+
+/** Ends of one kind in the windows of 5 min, 30 min, 1 h and 6 h. */
+struct burn_row {
+  1: required string service_name,
+  2: required string kind,
+  /** Whether these are calls at the upstream beside the node; otherwise
+      whole requests that the node took from callers. */
+  3: required bool at_upstream,
+  /** Four lists of counts, each in the order of `request_end`. */
+  4: required list<list<i64>> windows
+}
+
+/** One second of the requests of a member. */
+struct load_second_record {
+  /** Seconds since the Unix epoch. */
+  1: required i64 second,
+  2: required i64 ended,
+  3: required i64 in_time,
+  4: required i64 shed
+}
+
+/** What one node knows for a member's report. */
+struct burn_part {
+  1: required list<burn_row> rows,
+  2: required list<load_second_record> seconds,
+  /** Important requests completed in minutes in which lower ones were shed. */
+  3: required i64 kept_while_shedding,
+  /** Ends that were not counted because there were too many rows. */
+  4: required i64 left_out
 }
 
 struct board_pull {
-  1: required i64 request_id
+  1: required i64 request_id,
+  /** Member whose ends are wanted too; absent for none. */
+  2: optional string burn_member
 }
 
 struct board_push {
@@ -209,7 +247,10 @@
   2: required string node,
   3: required i64 boot,
   4: required list<board_row> rows,
-  5: required list<space_digest> in_force
+  5: required list<space_digest> in_force,
+  /** Present if `burn_member` was asked for. */
+  6: optional burn_part burn,
+  7: optional string zone
 }
 
 /** Asks a roster member to stop taking keys issued at or after `start_ms`. */
--- a/src/gen/operator_service.cpp
+++ b/src/gen/operator_service.cpp
@@ -38,14 +38,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->documents.clear();
-            uint32_t _size114;
-            ::apache::thrift::protocol::TType _etype117;
-            xfer += iprot->readListBegin(_etype117, _size114);
-            this->documents.resize(_size114);
-            uint32_t _i118;
-            for (_i118 = 0; _i118 < _size114; ++_i118)
+            uint32_t _size184;
+            ::apache::thrift::protocol::TType _etype187;
+            xfer += iprot->readListBegin(_etype187, _size184);
+            this->documents.resize(_size184);
+            uint32_t _i188;
+            for (_i188 = 0; _i188 < _size184; ++_i188)
             {
-              xfer += this->documents[_i118].read(iprot);
+              xfer += this->documents[_i188].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -74,10 +74,10 @@
   xfer += oprot->writeFieldBegin("documents", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->documents.size()));
-    std::vector<document> ::const_iterator _iter119;
-    for (_iter119 = this->documents.begin(); _iter119 != this->documents.end(); ++_iter119)
+    std::vector<document> ::const_iterator _iter189;
+    for (_iter189 = this->documents.begin(); _iter189 != this->documents.end(); ++_iter189)
     {
-      xfer += (*_iter119).write(oprot);
+      xfer += (*_iter189).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -101,10 +101,10 @@
   xfer += oprot->writeFieldBegin("documents", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>((*(this->documents)).size()));
-    std::vector<document> ::const_iterator _iter120;
-    for (_iter120 = (*(this->documents)).begin(); _iter120 != (*(this->documents)).end(); ++_iter120)
+    std::vector<document> ::const_iterator _iter190;
+    for (_iter190 = (*(this->documents)).begin(); _iter190 != (*(this->documents)).end(); ++_iter190)
     {
-      xfer += (*_iter120).write(oprot);
+      xfer += (*_iter190).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -253,14 +253,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->documents.clear();
-            uint32_t _size121;
-            ::apache::thrift::protocol::TType _etype124;
-            xfer += iprot->readListBegin(_etype124, _size121);
-            this->documents.resize(_size121);
-            uint32_t _i125;
-            for (_i125 = 0; _i125 < _size121; ++_i125)
+            uint32_t _size191;
+            ::apache::thrift::protocol::TType _etype194;
+            xfer += iprot->readListBegin(_etype194, _size191);
+            this->documents.resize(_size191);
+            uint32_t _i195;
+            for (_i195 = 0; _i195 < _size191; ++_i195)
             {
-              xfer += this->documents[_i125].read(iprot);
+              xfer += this->documents[_i195].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -289,10 +289,10 @@
   xfer += oprot->writeFieldBegin("documents", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->documents.size()));
-    std::vector<document> ::const_iterator _iter126;
-    for (_iter126 = this->documents.begin(); _iter126 != this->documents.end(); ++_iter126)
+    std::vector<document> ::const_iterator _iter196;
+    for (_iter196 = this->documents.begin(); _iter196 != this->documents.end(); ++_iter196)
     {
-      xfer += (*_iter126).write(oprot);
+      xfer += (*_iter196).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -316,10 +316,10 @@
   xfer += oprot->writeFieldBegin("documents", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>((*(this->documents)).size()));
-    std::vector<document> ::const_iterator _iter127;
-    for (_iter127 = (*(this->documents)).begin(); _iter127 != (*(this->documents)).end(); ++_iter127)
+    std::vector<document> ::const_iterator _iter197;
+    for (_iter197 = (*(this->documents)).begin(); _iter197 != (*(this->documents)).end(); ++_iter197)
     {
-      xfer += (*_iter127).write(oprot);
+      xfer += (*_iter197).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1573,6 +1573,213 @@
   return xfer;
 }
 
+
+operator_service_burn_args::~operator_service_burn_args() noexcept {
+}
+
+
+uint32_t operator_service_burn_args::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->member);
+          this->__isset.member = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t operator_service_burn_args::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("operator_service_burn_args");
+
+  xfer += oprot->writeFieldBegin("member", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->member);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+operator_service_burn_pargs::~operator_service_burn_pargs() noexcept {
+}
+
+
+uint32_t operator_service_burn_pargs::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("operator_service_burn_pargs");
+
+  xfer += oprot->writeFieldBegin("member", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString((*(this->member)));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+operator_service_burn_result::~operator_service_burn_result() noexcept {
+}
+
+
+uint32_t operator_service_burn_result::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->success.read(iprot);
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->error.read(iprot);
+          this->__isset.error = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t operator_service_burn_result::write(::apache::thrift::protocol::TProtocol* oprot) const {
+
+  uint32_t xfer = 0;
+
+  xfer += oprot->writeStructBegin("operator_service_burn_result");
+
+  if (this->__isset.success) {
+    xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_STRUCT, 0);
+    xfer += this->success.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  } else if (this->__isset.error) {
+    xfer += oprot->writeFieldBegin("error", ::apache::thrift::protocol::T_STRUCT, 1);
+    xfer += this->error.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+operator_service_burn_presult::~operator_service_burn_presult() noexcept {
+}
+
+
+uint32_t operator_service_burn_presult::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += (*(this->success)).read(iprot);
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->error.read(iprot);
+          this->__isset.error = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
 void operator_serviceClient::check(check_reply& _return, const std::vector<document> & documents)
 {
   send_check(documents);
@@ -2040,6 +2247,67 @@
   throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "report failed: unknown result");
 }
 
+void operator_serviceClient::burn(burn_reply& _return, const std::string& member)
+{
+  send_burn(member);
+  recv_burn(_return);
+}
+
+void operator_serviceClient::send_burn(const std::string& member)
+{
+  int32_t cseqid = 0;
+  oprot_->writeMessageBegin("burn", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  operator_service_burn_pargs args;
+  args.member = &member;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+}
+
+void operator_serviceClient::recv_burn(burn_reply& _return)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  iprot_->readMessageBegin(fname, mtype, rseqid);
+  if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+    ::apache::thrift::TApplicationException x;
+    x.read(iprot_);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+    throw x;
+  }
+  if (mtype != ::apache::thrift::protocol::T_REPLY) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  if (fname.compare("burn") != 0) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  operator_service_burn_presult result;
+  result.success = &_return;
+  result.read(iprot_);
+  iprot_->readMessageEnd();
+  iprot_->getTransport()->readEnd();
+
+  if (result.__isset.success) {
+    // _return pointer has now been filled
+    return;
+  }
+  if (result.__isset.error) {
+    throw result.error;
+  }
+  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "burn failed: unknown result");
+}
+
 bool operator_serviceProcessor::dispatchCall(::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, const std::string& fname, int32_t seqid, void* callContext) {
   ProcessMap::iterator pfn;
   pfn = processMap_.find(fname);
@@ -2504,6 +2772,63 @@
   }
 }
 
+void operator_serviceProcessor::process_burn(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
+{
+  void* ctx = nullptr;
+  if (this->eventHandler_.get() != nullptr) {
+    ctx = this->eventHandler_->getContext("operator_service.burn", callContext);
+  }
+  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "operator_service.burn");
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preRead(ctx, "operator_service.burn");
+  }
+
+  operator_service_burn_args args;
+  args.read(iprot);
+  iprot->readMessageEnd();
+  uint32_t bytes = iprot->getTransport()->readEnd();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postRead(ctx, "operator_service.burn", bytes);
+  }
+
+  operator_service_burn_result result;
+  try {
+    iface_->burn(result.success, args.member);
+    result.__isset.success = true;
+  } catch (operator_error &error) {
+    result.error = std::move(error);
+    result.__isset.error = true;
+  } catch (const std::exception& e) {
+    if (this->eventHandler_.get() != nullptr) {
+      this->eventHandler_->handlerError(ctx, "operator_service.burn");
+    }
+
+    ::apache::thrift::TApplicationException x(e.what());
+    oprot->writeMessageBegin("burn", ::apache::thrift::protocol::T_EXCEPTION, seqid);
+    x.write(oprot);
+    oprot->writeMessageEnd();
+    oprot->getTransport()->writeEnd();
+    oprot->getTransport()->flush();
+    return;
+  }
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preWrite(ctx, "operator_service.burn");
+  }
+
+  oprot->writeMessageBegin("burn", ::apache::thrift::protocol::T_REPLY, seqid);
+  result.write(oprot);
+  oprot->writeMessageEnd();
+  bytes = oprot->getTransport()->writeEnd();
+  oprot->getTransport()->flush();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postWrite(ctx, "operator_service.burn", bytes);
+  }
+}
+
 ::std::shared_ptr< ::apache::thrift::TProcessor > operator_serviceProcessorFactory::getProcessor(const ::apache::thrift::TConnectionInfo& connInfo) {
   ::apache::thrift::ReleaseHandler< operator_serviceIfFactory > cleanup(handlerFactory_);
   ::std::shared_ptr< operator_serviceIf > handler(handlerFactory_->getHandler(connInfo), cleanup);
@@ -3189,5 +3514,93 @@
   } // end while(true)
 }
 
+void operator_serviceConcurrentClient::burn(burn_reply& _return, const std::string& member)
+{
+  int32_t seqid = send_burn(member);
+  recv_burn(_return, seqid);
+}
+
+int32_t operator_serviceConcurrentClient::send_burn(const std::string& member)
+{
+  int32_t cseqid = this->sync_->generateSeqId();
+  ::apache::thrift::async::TConcurrentSendSentry sentry(this->sync_.get());
+  oprot_->writeMessageBegin("burn", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  operator_service_burn_pargs args;
+  args.member = &member;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+
+  sentry.commit();
+  return cseqid;
+}
+
+void operator_serviceConcurrentClient::recv_burn(burn_reply& _return, const int32_t seqid)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  // the read mutex gets dropped and reacquired as part of waitForWork()
+  // The destructor of this sentry wakes up other clients
+  ::apache::thrift::async::TConcurrentRecvSentry sentry(this->sync_.get(), seqid);
+
+  while(true) {
+    if(!this->sync_->getPending(fname, mtype, rseqid)) {
+      iprot_->readMessageBegin(fname, mtype, rseqid);
+    }
+    if(seqid == rseqid) {
+      if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+        ::apache::thrift::TApplicationException x;
+        x.read(iprot_);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+        sentry.commit();
+        throw x;
+      }
+      if (mtype != ::apache::thrift::protocol::T_REPLY) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+      }
+      if (fname.compare("burn") != 0) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+
+        // in a bad state, don't commit
+        using ::apache::thrift::protocol::TProtocolException;
+        throw TProtocolException(TProtocolException::INVALID_DATA);
+      }
+      operator_service_burn_presult result;
+      result.success = &_return;
+      result.read(iprot_);
+      iprot_->readMessageEnd();
+      iprot_->getTransport()->readEnd();
+
+      if (result.__isset.success) {
+        // _return pointer has now been filled
+        sentry.commit();
+        return;
+      }
+      if (result.__isset.error) {
+        sentry.commit();
+        throw result.error;
+      }
+      // in a bad state, don't commit
+      throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "burn failed: unknown result");
+    }
+    // seqid != rseqid
+    this->sync_->updatePending(fname, mtype, rseqid);
+
+    // this will temporarily unlock the readMutex, and let other clients get work done
+    this->sync_->waitForWork(seqid);
+  } // end while(true)
+}
+
 }} // namespace
 
--- a/src/gen/operator_service.h
+++ b/src/gen/operator_service.h
@@ -73,6 +73,13 @@
    * @param member
    */
   virtual void report(report_reply& _return, const std::string& member) = 0;
+
+  /**
+   * How fast the member's error budgets burn, and why.
+   * 
+   * @param member
+   */
+  virtual void burn(burn_reply& _return, const std::string& member) = 0;
 };
 
 class operator_serviceIfFactory {
@@ -126,6 +133,9 @@
   void report(report_reply& /* _return */, const std::string& /* member */) override {
     return;
   }
+  void burn(burn_reply& /* _return */, const std::string& /* member */) override {
+    return;
+  }
 };
 
 typedef struct _operator_service_check_args__isset {
@@ -990,6 +1000,123 @@
 
 };
 
+typedef struct _operator_service_burn_args__isset {
+  _operator_service_burn_args__isset() : member(false) {}
+  bool member :1;
+} _operator_service_burn_args__isset;
+
+class operator_service_burn_args {
+ public:
+
+  operator_service_burn_args(const operator_service_burn_args&);
+  operator_service_burn_args(operator_service_burn_args&&) noexcept;
+  operator_service_burn_args& operator=(const operator_service_burn_args&);
+  operator_service_burn_args& operator=(operator_service_burn_args&&) noexcept;
+  operator_service_burn_args() noexcept
+                             : member() {
+  }
+
+  virtual ~operator_service_burn_args() noexcept;
+  std::string member;
+
+  _operator_service_burn_args__isset __isset;
+
+  void __set_member(const std::string& val);
+
+  bool operator == (const operator_service_burn_args & rhs) const
+  {
+    if (!(member == rhs.member))
+      return false;
+    return true;
+  }
+  bool operator != (const operator_service_burn_args &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const operator_service_burn_args & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+
+class operator_service_burn_pargs {
+ public:
+
+
+  virtual ~operator_service_burn_pargs() noexcept;
+  const std::string* member;
+
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _operator_service_burn_result__isset {
+  _operator_service_burn_result__isset() : success(false), error(false) {}
+  bool success :1;
+  bool error :1;
+} _operator_service_burn_result__isset;
+
+class operator_service_burn_result {
+ public:
+
+  operator_service_burn_result(const operator_service_burn_result&);
+  operator_service_burn_result(operator_service_burn_result&&) noexcept;
+  operator_service_burn_result& operator=(const operator_service_burn_result&);
+  operator_service_burn_result& operator=(operator_service_burn_result&&) noexcept;
+  operator_service_burn_result() noexcept {
+  }
+
+  virtual ~operator_service_burn_result() noexcept;
+  burn_reply success;
+  operator_error error;
+
+  _operator_service_burn_result__isset __isset;
+
+  void __set_success(const burn_reply& val);
+
+  void __set_error(const operator_error& val);
+
+  bool operator == (const operator_service_burn_result & rhs) const
+  {
+    if (!(success == rhs.success))
+      return false;
+    if (!(error == rhs.error))
+      return false;
+    return true;
+  }
+  bool operator != (const operator_service_burn_result &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const operator_service_burn_result & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _operator_service_burn_presult__isset {
+  _operator_service_burn_presult__isset() : success(false), error(false) {}
+  bool success :1;
+  bool error :1;
+} _operator_service_burn_presult__isset;
+
+class operator_service_burn_presult {
+ public:
+
+
+  virtual ~operator_service_burn_presult() noexcept;
+  burn_reply* success;
+  operator_error error;
+
+  _operator_service_burn_presult__isset __isset;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+
+};
+
 class operator_serviceClient : virtual public operator_serviceIf {
  public:
   operator_serviceClient(std::shared_ptr< ::apache::thrift::protocol::TProtocol> prot) {
@@ -1074,6 +1201,14 @@
   void report(report_reply& _return, const std::string& member) override;
   void send_report(const std::string& member);
   void recv_report(report_reply& _return);
+  /**
+   * How fast the member's error budgets burn, and why.
+   * 
+   * @param member
+   */
+  void burn(burn_reply& _return, const std::string& member) override;
+  void send_burn(const std::string& member);
+  void recv_burn(burn_reply& _return);
  protected:
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> piprot_;
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> poprot_;
@@ -1097,6 +1232,7 @@
   void process_drain(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_undrain(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_report(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
+  void process_burn(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
  public:
   operator_serviceProcessor(::std::shared_ptr<operator_serviceIf> iface) :
     iface_(iface) {
@@ -1108,6 +1244,7 @@
     processMap_["drain"] = &operator_serviceProcessor::process_drain;
     processMap_["undrain"] = &operator_serviceProcessor::process_undrain;
     processMap_["report"] = &operator_serviceProcessor::process_report;
+    processMap_["burn"] = &operator_serviceProcessor::process_burn;
   }
 
   virtual ~operator_serviceProcessor() {}
@@ -1249,6 +1386,21 @@
     return;
   }
 
+  /**
+   * How fast the member's error budgets burn, and why.
+   * 
+   * @param member
+   */
+  void burn(burn_reply& _return, const std::string& member) override {
+    size_t sz = ifaces_.size();
+    size_t i = 0;
+    for (; i < (sz - 1); ++i) {
+      ifaces_[i]->burn(_return, member);
+    }
+    ifaces_[i]->burn(_return, member);
+    return;
+  }
+
 };
 
 // The 'concurrent' client is a thread safe client that correctly handles
@@ -1340,6 +1492,14 @@
   void report(report_reply& _return, const std::string& member) override;
   int32_t send_report(const std::string& member);
   void recv_report(report_reply& _return, const int32_t seqid);
+  /**
+   * How fast the member's error budgets burn, and why.
+   * 
+   * @param member
+   */
+  void burn(burn_reply& _return, const std::string& member) override;
+  int32_t send_burn(const std::string& member);
+  void recv_burn(burn_reply& _return, const int32_t seqid);
  protected:
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> piprot_;
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> poprot_;
--- a/src/gen/operator_types.cpp
+++ b/src/gen/operator_types.cpp
@@ -1948,6 +1948,18 @@
 void board_line::__set_runs_for_others(const int64_t val) {
   this->runs_for_others = val;
 }
+
+void board_line::__set_lent_ms(const int64_t val) {
+  this->lent_ms = val;
+}
+
+void board_line::__set_runs_borrowed(const int64_t val) {
+  this->runs_borrowed = val;
+}
+
+void board_line::__set_borrowed_ms(const int64_t val) {
+  this->borrowed_ms = val;
+}
 std::ostream& operator<<(std::ostream& out, const board_line& obj)
 {
   obj.printTo(out);
@@ -1978,6 +1990,9 @@
   bool isset_shed = false;
   bool isset_upstream_runs = false;
   bool isset_runs_for_others = false;
+  bool isset_lent_ms = false;
+  bool isset_runs_borrowed = false;
+  bool isset_borrowed_ms = false;
 
   while (true)
   {
@@ -2075,6 +2090,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->lent_ms);
+          isset_lent_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->runs_borrowed);
+          isset_runs_borrowed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->borrowed_ms);
+          isset_borrowed_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2106,6 +2145,12 @@
     throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_runs_for_others)
     throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_lent_ms)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_runs_borrowed)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_borrowed_ms)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
@@ -2158,6 +2203,18 @@
   xfer += oprot->writeI64(this->runs_for_others);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("lent_ms", ::apache::thrift::protocol::T_I64, 12);
+  xfer += oprot->writeI64(this->lent_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("runs_borrowed", ::apache::thrift::protocol::T_I64, 13);
+  xfer += oprot->writeI64(this->runs_borrowed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("borrowed_ms", ::apache::thrift::protocol::T_I64, 14);
+  xfer += oprot->writeI64(this->borrowed_ms);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2176,6 +2233,9 @@
   swap(a.shed, b.shed);
   swap(a.upstream_runs, b.upstream_runs);
   swap(a.runs_for_others, b.runs_for_others);
+  swap(a.lent_ms, b.lent_ms);
+  swap(a.runs_borrowed, b.runs_borrowed);
+  swap(a.borrowed_ms, b.borrowed_ms);
 }
 
 board_line::board_line(const board_line& other96) {
@@ -2190,6 +2250,9 @@
   shed = other96.shed;
   upstream_runs = other96.upstream_runs;
   runs_for_others = other96.runs_for_others;
+  lent_ms = other96.lent_ms;
+  runs_borrowed = other96.runs_borrowed;
+  borrowed_ms = other96.borrowed_ms;
 }
 board_line::board_line(board_line&& other97) noexcept {
   service_name = std::move(other97.service_name);
@@ -2203,6 +2266,9 @@
   shed = other97.shed;
   upstream_runs = other97.upstream_runs;
   runs_for_others = other97.runs_for_others;
+  lent_ms = other97.lent_ms;
+  runs_borrowed = other97.runs_borrowed;
+  borrowed_ms = other97.borrowed_ms;
 }
 board_line& board_line::operator=(const board_line& other98) {
   service_name = other98.service_name;
@@ -2216,6 +2282,9 @@
   shed = other98.shed;
   upstream_runs = other98.upstream_runs;
   runs_for_others = other98.runs_for_others;
+  lent_ms = other98.lent_ms;
+  runs_borrowed = other98.runs_borrowed;
+  borrowed_ms = other98.borrowed_ms;
   return *this;
 }
 board_line& board_line::operator=(board_line&& other99) noexcept {
@@ -2230,6 +2299,9 @@
   shed = other99.shed;
   upstream_runs = other99.upstream_runs;
   runs_for_others = other99.runs_for_others;
+  lent_ms = other99.lent_ms;
+  runs_borrowed = other99.runs_borrowed;
+  borrowed_ms = other99.borrowed_ms;
   return *this;
 }
 void board_line::printTo(std::ostream& out) const {
@@ -2246,6 +2318,9 @@
   out << ", " << "shed=" << to_string(shed);
   out << ", " << "upstream_runs=" << to_string(upstream_runs);
   out << ", " << "runs_for_others=" << to_string(runs_for_others);
+  out << ", " << "lent_ms=" << to_string(lent_ms);
+  out << ", " << "runs_borrowed=" << to_string(runs_borrowed);
+  out << ", " << "borrowed_ms=" << to_string(borrowed_ms);
   out << ")";
 }
 
@@ -2444,6 +2519,1473 @@
 }
 
 
+burn_window_line::~burn_window_line() noexcept {
+}
+
+
+void burn_window_line::__set_window(const std::string& val) {
+  this->window = val;
+}
+
+void burn_window_line::__set_ends(const std::map<std::string, int64_t> & val) {
+  this->ends = val;
+}
+
+void burn_window_line::__set_judged(const int64_t val) {
+  this->judged = val;
+}
+
+void burn_window_line::__set_bad(const int64_t val) {
+  this->bad = val;
+}
+
+void burn_window_line::__set_burn_rate(const double val) {
+  this->burn_rate = val;
+}
+std::ostream& operator<<(std::ostream& out, const burn_window_line& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t burn_window_line::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_window = false;
+  bool isset_ends = false;
+  bool isset_judged = false;
+  bool isset_bad = false;
+  bool isset_burn_rate = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->window);
+          isset_window = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->ends.clear();
+            uint32_t _size110;
+            ::apache::thrift::protocol::TType _ktype111;
+            ::apache::thrift::protocol::TType _vtype112;
+            xfer += iprot->readMapBegin(_ktype111, _vtype112, _size110);
+            uint32_t _i114;
+            for (_i114 = 0; _i114 < _size110; ++_i114)
+            {
+              std::string _key115;
+              xfer += iprot->readString(_key115);
+              int64_t& _val116 = this->ends[_key115];
+              xfer += iprot->readI64(_val116);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          isset_ends = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->judged);
+          isset_judged = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->bad);
+          isset_bad = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->burn_rate);
+          isset_burn_rate = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_window)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_ends)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_judged)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_bad)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_burn_rate)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t burn_window_line::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("burn_window_line");
+
+  xfer += oprot->writeFieldBegin("window", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->window);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ends", ::apache::thrift::protocol::T_MAP, 2);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->ends.size()));
+    std::map<std::string, int64_t> ::const_iterator _iter117;
+    for (_iter117 = this->ends.begin(); _iter117 != this->ends.end(); ++_iter117)
+    {
+      xfer += oprot->writeString(_iter117->first);
+      xfer += oprot->writeI64(_iter117->second);
+    }
+    xfer += oprot->writeMapEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("judged", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->judged);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("bad", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->bad);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("burn_rate", ::apache::thrift::protocol::T_DOUBLE, 5);
+  xfer += oprot->writeDouble(this->burn_rate);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(burn_window_line &a, burn_window_line &b) {
+  using ::std::swap;
+  swap(a.window, b.window);
+  swap(a.ends, b.ends);
+  swap(a.judged, b.judged);
+  swap(a.bad, b.bad);
+  swap(a.burn_rate, b.burn_rate);
+}
+
+burn_window_line::burn_window_line(const burn_window_line& other118) {
+  window = other118.window;
+  ends = other118.ends;
+  judged = other118.judged;
+  bad = other118.bad;
+  burn_rate = other118.burn_rate;
+}
+burn_window_line::burn_window_line(burn_window_line&& other119) noexcept {
+  window = std::move(other119.window);
+  ends = std::move(other119.ends);
+  judged = other119.judged;
+  bad = other119.bad;
+  burn_rate = other119.burn_rate;
+}
+burn_window_line& burn_window_line::operator=(const burn_window_line& other120) {
+  window = other120.window;
+  ends = other120.ends;
+  judged = other120.judged;
+  bad = other120.bad;
+  burn_rate = other120.burn_rate;
+  return *this;
+}
+burn_window_line& burn_window_line::operator=(burn_window_line&& other121) noexcept {
+  window = std::move(other121.window);
+  ends = std::move(other121.ends);
+  judged = other121.judged;
+  bad = other121.bad;
+  burn_rate = other121.burn_rate;
+  return *this;
+}
+void burn_window_line::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "burn_window_line(";
+  out << "window=" << to_string(window);
+  out << ", " << "ends=" << to_string(ends);
+  out << ", " << "judged=" << to_string(judged);
+  out << ", " << "bad=" << to_string(bad);
+  out << ", " << "burn_rate=" << to_string(burn_rate);
+  out << ")";
+}
+
+
+burn_kind::~burn_kind() noexcept {
+}
+
+
+void burn_kind::__set_service_name(const std::string& val) {
+  this->service_name = val;
+}
+
+void burn_kind::__set_kind(const std::string& val) {
+  this->kind = val;
+}
+
+void burn_kind::__set_importance(const std::string& val) {
+  this->importance = val;
+}
+
+void burn_kind::__set_objective(const double val) {
+  this->objective = val;
+}
+
+void burn_kind::__set_budget_left(const double val) {
+  this->budget_left = val;
+}
+
+void burn_kind::__set_windows(const std::vector<burn_window_line> & val) {
+  this->windows = val;
+}
+
+void burn_kind::__set_alert(const std::string& val) {
+  this->alert = val;
+}
+std::ostream& operator<<(std::ostream& out, const burn_kind& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t burn_kind::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_service_name = false;
+  bool isset_kind = false;
+  bool isset_importance = false;
+  bool isset_objective = false;
+  bool isset_budget_left = false;
+  bool isset_windows = false;
+  bool isset_alert = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->service_name);
+          isset_service_name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->kind);
+          isset_kind = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->importance);
+          isset_importance = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->objective);
+          isset_objective = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->budget_left);
+          isset_budget_left = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->windows.clear();
+            uint32_t _size122;
+            ::apache::thrift::protocol::TType _etype125;
+            xfer += iprot->readListBegin(_etype125, _size122);
+            this->windows.resize(_size122);
+            uint32_t _i126;
+            for (_i126 = 0; _i126 < _size122; ++_i126)
+            {
+              xfer += this->windows[_i126].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_windows = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->alert);
+          isset_alert = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_service_name)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_kind)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_importance)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_objective)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_budget_left)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_windows)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_alert)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t burn_kind::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("burn_kind");
+
+  xfer += oprot->writeFieldBegin("service_name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->service_name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->kind);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("importance", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->importance);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("objective", ::apache::thrift::protocol::T_DOUBLE, 4);
+  xfer += oprot->writeDouble(this->objective);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("budget_left", ::apache::thrift::protocol::T_DOUBLE, 5);
+  xfer += oprot->writeDouble(this->budget_left);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("windows", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->windows.size()));
+    std::vector<burn_window_line> ::const_iterator _iter127;
+    for (_iter127 = this->windows.begin(); _iter127 != this->windows.end(); ++_iter127)
+    {
+      xfer += (*_iter127).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("alert", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeString(this->alert);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(burn_kind &a, burn_kind &b) {
+  using ::std::swap;
+  swap(a.service_name, b.service_name);
+  swap(a.kind, b.kind);
+  swap(a.importance, b.importance);
+  swap(a.objective, b.objective);
+  swap(a.budget_left, b.budget_left);
+  swap(a.windows, b.windows);
+  swap(a.alert, b.alert);
+}
+
+burn_kind::burn_kind(const burn_kind& other128) {
+  service_name = other128.service_name;
+  kind = other128.kind;
+  importance = other128.importance;
+  objective = other128.objective;
+  budget_left = other128.budget_left;
+  windows = other128.windows;
+  alert = other128.alert;
+}
+burn_kind::burn_kind(burn_kind&& other129) noexcept {
+  service_name = std::move(other129.service_name);
+  kind = std::move(other129.kind);
+  importance = std::move(other129.importance);
+  objective = other129.objective;
+  budget_left = other129.budget_left;
+  windows = std::move(other129.windows);
+  alert = std::move(other129.alert);
+}
+burn_kind& burn_kind::operator=(const burn_kind& other130) {
+  service_name = other130.service_name;
+  kind = other130.kind;
+  importance = other130.importance;
+  objective = other130.objective;
+  budget_left = other130.budget_left;
+  windows = other130.windows;
+  alert = other130.alert;
+  return *this;
+}
+burn_kind& burn_kind::operator=(burn_kind&& other131) noexcept {
+  service_name = std::move(other131.service_name);
+  kind = std::move(other131.kind);
+  importance = std::move(other131.importance);
+  objective = other131.objective;
+  budget_left = other131.budget_left;
+  windows = std::move(other131.windows);
+  alert = std::move(other131.alert);
+  return *this;
+}
+void burn_kind::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "burn_kind(";
+  out << "service_name=" << to_string(service_name);
+  out << ", " << "kind=" << to_string(kind);
+  out << ", " << "importance=" << to_string(importance);
+  out << ", " << "objective=" << to_string(objective);
+  out << ", " << "budget_left=" << to_string(budget_left);
+  out << ", " << "windows=" << to_string(windows);
+  out << ", " << "alert=" << to_string(alert);
+  out << ")";
+}
+
+
+burn_upstream::~burn_upstream() noexcept {
+}
+
+
+void burn_upstream::__set_node(const std::string& val) {
+  this->node = val;
+}
+
+void burn_upstream::__set_zone(const std::string& val) {
+  this->zone = val;
+}
+
+void burn_upstream::__set_service_name(const std::string& val) {
+  this->service_name = val;
+}
+
+void burn_upstream::__set_kind(const std::string& val) {
+  this->kind = val;
+}
+
+void burn_upstream::__set_ends(const std::map<std::string, int64_t> & val) {
+  this->ends = val;
+}
+std::ostream& operator<<(std::ostream& out, const burn_upstream& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t burn_upstream::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_node = false;
+  bool isset_zone = false;
+  bool isset_service_name = false;
+  bool isset_kind = false;
+  bool isset_ends = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->node);
+          isset_node = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->zone);
+          isset_zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->service_name);
+          isset_service_name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->kind);
+          isset_kind = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->ends.clear();
+            uint32_t _size132;
+            ::apache::thrift::protocol::TType _ktype133;
+            ::apache::thrift::protocol::TType _vtype134;
+            xfer += iprot->readMapBegin(_ktype133, _vtype134, _size132);
+            uint32_t _i136;
+            for (_i136 = 0; _i136 < _size132; ++_i136)
+            {
+              std::string _key137;
+              xfer += iprot->readString(_key137);
+              int64_t& _val138 = this->ends[_key137];
+              xfer += iprot->readI64(_val138);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          isset_ends = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_node)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_zone)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_service_name)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_kind)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_ends)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t burn_upstream::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("burn_upstream");
+
+  xfer += oprot->writeFieldBegin("node", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->node);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->zone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("service_name", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->service_name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->kind);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ends", ::apache::thrift::protocol::T_MAP, 5);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->ends.size()));
+    std::map<std::string, int64_t> ::const_iterator _iter139;
+    for (_iter139 = this->ends.begin(); _iter139 != this->ends.end(); ++_iter139)
+    {
+      xfer += oprot->writeString(_iter139->first);
+      xfer += oprot->writeI64(_iter139->second);
+    }
+    xfer += oprot->writeMapEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(burn_upstream &a, burn_upstream &b) {
+  using ::std::swap;
+  swap(a.node, b.node);
+  swap(a.zone, b.zone);
+  swap(a.service_name, b.service_name);
+  swap(a.kind, b.kind);
+  swap(a.ends, b.ends);
+}
+
+burn_upstream::burn_upstream(const burn_upstream& other140) {
+  node = other140.node;
+  zone = other140.zone;
+  service_name = other140.service_name;
+  kind = other140.kind;
+  ends = other140.ends;
+}
+burn_upstream::burn_upstream(burn_upstream&& other141) noexcept {
+  node = std::move(other141.node);
+  zone = std::move(other141.zone);
+  service_name = std::move(other141.service_name);
+  kind = std::move(other141.kind);
+  ends = std::move(other141.ends);
+}
+burn_upstream& burn_upstream::operator=(const burn_upstream& other142) {
+  node = other142.node;
+  zone = other142.zone;
+  service_name = other142.service_name;
+  kind = other142.kind;
+  ends = other142.ends;
+  return *this;
+}
+burn_upstream& burn_upstream::operator=(burn_upstream&& other143) noexcept {
+  node = std::move(other143.node);
+  zone = std::move(other143.zone);
+  service_name = std::move(other143.service_name);
+  kind = std::move(other143.kind);
+  ends = std::move(other143.ends);
+  return *this;
+}
+void burn_upstream::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "burn_upstream(";
+  out << "node=" << to_string(node);
+  out << ", " << "zone=" << to_string(zone);
+  out << ", " << "service_name=" << to_string(service_name);
+  out << ", " << "kind=" << to_string(kind);
+  out << ", " << "ends=" << to_string(ends);
+  out << ")";
+}
+
+
+burn_episode::~burn_episode() noexcept {
+}
+
+
+void burn_episode::__set_start_second(const int64_t val) {
+  this->start_second = val;
+}
+
+void burn_episode::__set_end_second(const int64_t val) {
+  this->end_second = val;
+}
+
+void burn_episode::__set_recovery_s(const int64_t val) {
+  this->recovery_s = val;
+}
+std::ostream& operator<<(std::ostream& out, const burn_episode& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t burn_episode::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_start_second = false;
+  bool isset_end_second = false;
+  bool isset_recovery_s = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->start_second);
+          isset_start_second = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->end_second);
+          isset_end_second = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->recovery_s);
+          isset_recovery_s = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_start_second)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_end_second)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_recovery_s)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t burn_episode::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("burn_episode");
+
+  xfer += oprot->writeFieldBegin("start_second", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->start_second);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("end_second", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->end_second);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("recovery_s", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->recovery_s);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(burn_episode &a, burn_episode &b) {
+  using ::std::swap;
+  swap(a.start_second, b.start_second);
+  swap(a.end_second, b.end_second);
+  swap(a.recovery_s, b.recovery_s);
+}
+
+burn_episode::burn_episode(const burn_episode& other144) noexcept {
+  start_second = other144.start_second;
+  end_second = other144.end_second;
+  recovery_s = other144.recovery_s;
+}
+burn_episode::burn_episode(burn_episode&& other145) noexcept {
+  start_second = other145.start_second;
+  end_second = other145.end_second;
+  recovery_s = other145.recovery_s;
+}
+burn_episode& burn_episode::operator=(const burn_episode& other146) noexcept {
+  start_second = other146.start_second;
+  end_second = other146.end_second;
+  recovery_s = other146.recovery_s;
+  return *this;
+}
+burn_episode& burn_episode::operator=(burn_episode&& other147) noexcept {
+  start_second = other147.start_second;
+  end_second = other147.end_second;
+  recovery_s = other147.recovery_s;
+  return *this;
+}
+void burn_episode::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "burn_episode(";
+  out << "start_second=" << to_string(start_second);
+  out << ", " << "end_second=" << to_string(end_second);
+  out << ", " << "recovery_s=" << to_string(recovery_s);
+  out << ")";
+}
+
+
+burn_second::~burn_second() noexcept {
+}
+
+
+void burn_second::__set_second(const int64_t val) {
+  this->second = val;
+}
+
+void burn_second::__set_ended(const int64_t val) {
+  this->ended = val;
+}
+
+void burn_second::__set_in_time(const int64_t val) {
+  this->in_time = val;
+}
+
+void burn_second::__set_shed(const int64_t val) {
+  this->shed = val;
+}
+std::ostream& operator<<(std::ostream& out, const burn_second& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t burn_second::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_second = false;
+  bool isset_ended = false;
+  bool isset_in_time = false;
+  bool isset_shed = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->second);
+          isset_second = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ended);
+          isset_ended = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->in_time);
+          isset_in_time = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->shed);
+          isset_shed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_second)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_ended)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_in_time)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_shed)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t burn_second::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("burn_second");
+
+  xfer += oprot->writeFieldBegin("second", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->second);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ended", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->ended);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("in_time", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->in_time);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("shed", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->shed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(burn_second &a, burn_second &b) {
+  using ::std::swap;
+  swap(a.second, b.second);
+  swap(a.ended, b.ended);
+  swap(a.in_time, b.in_time);
+  swap(a.shed, b.shed);
+}
+
+burn_second::burn_second(const burn_second& other148) noexcept {
+  second = other148.second;
+  ended = other148.ended;
+  in_time = other148.in_time;
+  shed = other148.shed;
+}
+burn_second::burn_second(burn_second&& other149) noexcept {
+  second = other149.second;
+  ended = other149.ended;
+  in_time = other149.in_time;
+  shed = other149.shed;
+}
+burn_second& burn_second::operator=(const burn_second& other150) noexcept {
+  second = other150.second;
+  ended = other150.ended;
+  in_time = other150.in_time;
+  shed = other150.shed;
+  return *this;
+}
+burn_second& burn_second::operator=(burn_second&& other151) noexcept {
+  second = other151.second;
+  ended = other151.ended;
+  in_time = other151.in_time;
+  shed = other151.shed;
+  return *this;
+}
+void burn_second::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "burn_second(";
+  out << "second=" << to_string(second);
+  out << ", " << "ended=" << to_string(ended);
+  out << ", " << "in_time=" << to_string(in_time);
+  out << ", " << "shed=" << to_string(shed);
+  out << ")";
+}
+
+
+burn_reply::~burn_reply() noexcept {
+}
+
+
+void burn_reply::__set_member(const std::string& val) {
+  this->member = val;
+}
+
+void burn_reply::__set_made_at(const int64_t val) {
+  this->made_at = val;
+}
+
+void burn_reply::__set_kinds(const std::vector<burn_kind> & val) {
+  this->kinds = val;
+}
+
+void burn_reply::__set_upstreams(const std::vector<burn_upstream> & val) {
+  this->upstreams = val;
+}
+
+void burn_reply::__set_episodes(const std::vector<burn_episode> & val) {
+  this->episodes = val;
+}
+
+void burn_reply::__set_seconds(const std::vector<burn_second> & val) {
+  this->seconds = val;
+}
+
+void burn_reply::__set_nodes_heard(const int32_t val) {
+  this->nodes_heard = val;
+}
+
+void burn_reply::__set_nodes_known(const int32_t val) {
+  this->nodes_known = val;
+}
+
+void burn_reply::__set_nodes_restarted(const int32_t val) {
+  this->nodes_restarted = val;
+}
+
+void burn_reply::__set_kept_while_shedding(const int64_t val) {
+  this->kept_while_shedding = val;
+}
+
+void burn_reply::__set_left_out(const int64_t val) {
+  this->left_out = val;
+}
+std::ostream& operator<<(std::ostream& out, const burn_reply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t burn_reply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_member = false;
+  bool isset_made_at = false;
+  bool isset_kinds = false;
+  bool isset_upstreams = false;
+  bool isset_episodes = false;
+  bool isset_seconds = false;
+  bool isset_nodes_heard = false;
+  bool isset_nodes_known = false;
+  bool isset_nodes_restarted = false;
+  bool isset_kept_while_shedding = false;
+  bool isset_left_out = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->member);
+          isset_member = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->made_at);
+          isset_made_at = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->kinds.clear();
+            uint32_t _size152;
+            ::apache::thrift::protocol::TType _etype155;
+            xfer += iprot->readListBegin(_etype155, _size152);
+            this->kinds.resize(_size152);
+            uint32_t _i156;
+            for (_i156 = 0; _i156 < _size152; ++_i156)
+            {
+              xfer += this->kinds[_i156].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_kinds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->upstreams.clear();
+            uint32_t _size157;
+            ::apache::thrift::protocol::TType _etype160;
+            xfer += iprot->readListBegin(_etype160, _size157);
+            this->upstreams.resize(_size157);
+            uint32_t _i161;
+            for (_i161 = 0; _i161 < _size157; ++_i161)
+            {
+              xfer += this->upstreams[_i161].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_upstreams = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->episodes.clear();
+            uint32_t _size162;
+            ::apache::thrift::protocol::TType _etype165;
+            xfer += iprot->readListBegin(_etype165, _size162);
+            this->episodes.resize(_size162);
+            uint32_t _i166;
+            for (_i166 = 0; _i166 < _size162; ++_i166)
+            {
+              xfer += this->episodes[_i166].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_episodes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->seconds.clear();
+            uint32_t _size167;
+            ::apache::thrift::protocol::TType _etype170;
+            xfer += iprot->readListBegin(_etype170, _size167);
+            this->seconds.resize(_size167);
+            uint32_t _i171;
+            for (_i171 = 0; _i171 < _size167; ++_i171)
+            {
+              xfer += this->seconds[_i171].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_seconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->nodes_heard);
+          isset_nodes_heard = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->nodes_known);
+          isset_nodes_known = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->nodes_restarted);
+          isset_nodes_restarted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->kept_while_shedding);
+          isset_kept_while_shedding = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->left_out);
+          isset_left_out = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_member)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_made_at)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_kinds)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_upstreams)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_episodes)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_seconds)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_nodes_heard)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_nodes_known)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_nodes_restarted)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_kept_while_shedding)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_left_out)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t burn_reply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("burn_reply");
+
+  xfer += oprot->writeFieldBegin("member", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->member);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("made_at", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->made_at);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("kinds", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->kinds.size()));
+    std::vector<burn_kind> ::const_iterator _iter172;
+    for (_iter172 = this->kinds.begin(); _iter172 != this->kinds.end(); ++_iter172)
+    {
+      xfer += (*_iter172).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("upstreams", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->upstreams.size()));
+    std::vector<burn_upstream> ::const_iterator _iter173;
+    for (_iter173 = this->upstreams.begin(); _iter173 != this->upstreams.end(); ++_iter173)
+    {
+      xfer += (*_iter173).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("episodes", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->episodes.size()));
+    std::vector<burn_episode> ::const_iterator _iter174;
+    for (_iter174 = this->episodes.begin(); _iter174 != this->episodes.end(); ++_iter174)
+    {
+      xfer += (*_iter174).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("seconds", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->seconds.size()));
+    std::vector<burn_second> ::const_iterator _iter175;
+    for (_iter175 = this->seconds.begin(); _iter175 != this->seconds.end(); ++_iter175)
+    {
+      xfer += (*_iter175).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("nodes_heard", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->nodes_heard);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("nodes_known", ::apache::thrift::protocol::T_I32, 8);
+  xfer += oprot->writeI32(this->nodes_known);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("nodes_restarted", ::apache::thrift::protocol::T_I32, 9);
+  xfer += oprot->writeI32(this->nodes_restarted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("kept_while_shedding", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->kept_while_shedding);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("left_out", ::apache::thrift::protocol::T_I64, 11);
+  xfer += oprot->writeI64(this->left_out);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(burn_reply &a, burn_reply &b) {
+  using ::std::swap;
+  swap(a.member, b.member);
+  swap(a.made_at, b.made_at);
+  swap(a.kinds, b.kinds);
+  swap(a.upstreams, b.upstreams);
+  swap(a.episodes, b.episodes);
+  swap(a.seconds, b.seconds);
+  swap(a.nodes_heard, b.nodes_heard);
+  swap(a.nodes_known, b.nodes_known);
+  swap(a.nodes_restarted, b.nodes_restarted);
+  swap(a.kept_while_shedding, b.kept_while_shedding);
+  swap(a.left_out, b.left_out);
+}
+
+burn_reply::burn_reply(const burn_reply& other176) {
+  member = other176.member;
+  made_at = other176.made_at;
+  kinds = other176.kinds;
+  upstreams = other176.upstreams;
+  episodes = other176.episodes;
+  seconds = other176.seconds;
+  nodes_heard = other176.nodes_heard;
+  nodes_known = other176.nodes_known;
+  nodes_restarted = other176.nodes_restarted;
+  kept_while_shedding = other176.kept_while_shedding;
+  left_out = other176.left_out;
+}
+burn_reply::burn_reply(burn_reply&& other177) noexcept {
+  member = std::move(other177.member);
+  made_at = other177.made_at;
+  kinds = std::move(other177.kinds);
+  upstreams = std::move(other177.upstreams);
+  episodes = std::move(other177.episodes);
+  seconds = std::move(other177.seconds);
+  nodes_heard = other177.nodes_heard;
+  nodes_known = other177.nodes_known;
+  nodes_restarted = other177.nodes_restarted;
+  kept_while_shedding = other177.kept_while_shedding;
+  left_out = other177.left_out;
+}
+burn_reply& burn_reply::operator=(const burn_reply& other178) {
+  member = other178.member;
+  made_at = other178.made_at;
+  kinds = other178.kinds;
+  upstreams = other178.upstreams;
+  episodes = other178.episodes;
+  seconds = other178.seconds;
+  nodes_heard = other178.nodes_heard;
+  nodes_known = other178.nodes_known;
+  nodes_restarted = other178.nodes_restarted;
+  kept_while_shedding = other178.kept_while_shedding;
+  left_out = other178.left_out;
+  return *this;
+}
+burn_reply& burn_reply::operator=(burn_reply&& other179) noexcept {
+  member = std::move(other179.member);
+  made_at = other179.made_at;
+  kinds = std::move(other179.kinds);
+  upstreams = std::move(other179.upstreams);
+  episodes = std::move(other179.episodes);
+  seconds = std::move(other179.seconds);
+  nodes_heard = other179.nodes_heard;
+  nodes_known = other179.nodes_known;
+  nodes_restarted = other179.nodes_restarted;
+  kept_while_shedding = other179.kept_while_shedding;
+  left_out = other179.left_out;
+  return *this;
+}
+void burn_reply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "burn_reply(";
+  out << "member=" << to_string(member);
+  out << ", " << "made_at=" << to_string(made_at);
+  out << ", " << "kinds=" << to_string(kinds);
+  out << ", " << "upstreams=" << to_string(upstreams);
+  out << ", " << "episodes=" << to_string(episodes);
+  out << ", " << "seconds=" << to_string(seconds);
+  out << ", " << "nodes_heard=" << to_string(nodes_heard);
+  out << ", " << "nodes_known=" << to_string(nodes_known);
+  out << ", " << "nodes_restarted=" << to_string(nodes_restarted);
+  out << ", " << "kept_while_shedding=" << to_string(kept_while_shedding);
+  out << ", " << "left_out=" << to_string(left_out);
+  out << ")";
+}
+
+
 operator_error::~operator_error() noexcept {
 }
 
@@ -2521,18 +4063,18 @@
   swap(a.message, b.message);
 }
 
-operator_error::operator_error(const operator_error& other110) : TException() {
-  message = other110.message;
+operator_error::operator_error(const operator_error& other180) : TException() {
+  message = other180.message;
 }
-operator_error::operator_error(operator_error&& other111) noexcept : TException() {
-  message = std::move(other111.message);
+operator_error::operator_error(operator_error&& other181) noexcept : TException() {
+  message = std::move(other181.message);
 }
-operator_error& operator_error::operator=(const operator_error& other112) {
-  message = other112.message;
+operator_error& operator_error::operator=(const operator_error& other182) {
+  message = other182.message;
   return *this;
 }
-operator_error& operator_error::operator=(operator_error&& other113) noexcept {
-  message = std::move(other113.message);
+operator_error& operator_error::operator=(operator_error&& other183) noexcept {
+  message = std::move(other183.message);
   return *this;
 }
 void operator_error::printTo(std::ostream& out) const {
--- a/src/gen/operator_types.h
+++ b/src/gen/operator_types.h
@@ -92,6 +92,18 @@
 
 class report_reply;
 
+class burn_window_line;
+
+class burn_kind;
+
+class burn_upstream;
+
+class burn_episode;
+
+class burn_second;
+
+class burn_reply;
+
 class operator_error;
 
 
@@ -703,7 +715,10 @@
                retries(0),
                shed(0),
                upstream_runs(0),
-               runs_for_others(0) {
+               runs_for_others(0),
+               lent_ms(0),
+               runs_borrowed(0),
+               borrowed_ms(0) {
   }
 
   virtual ~board_line() noexcept;
@@ -718,6 +733,18 @@
   int64_t shed;
   int64_t upstream_runs;
   int64_t runs_for_others;
+  /**
+   * Time of those runs on the upstream, ms.
+   */
+  int64_t lent_ms;
+  /**
+   * Runs of this member's requests on upstreams of other members.
+   */
+  int64_t runs_borrowed;
+  /**
+   * Time of those runs on the upstream, ms.
+   */
+  int64_t borrowed_ms;
 
   void __set_service_name(const std::string& val);
 
@@ -741,6 +768,12 @@
 
   void __set_runs_for_others(const int64_t val);
 
+  void __set_lent_ms(const int64_t val);
+
+  void __set_runs_borrowed(const int64_t val);
+
+  void __set_borrowed_ms(const int64_t val);
+
   bool operator == (const board_line & rhs) const
   {
     if (!(service_name == rhs.service_name))
@@ -765,6 +798,12 @@
       return false;
     if (!(runs_for_others == rhs.runs_for_others))
       return false;
+    if (!(lent_ms == rhs.lent_ms))
+      return false;
+    if (!(runs_borrowed == rhs.runs_borrowed))
+      return false;
+    if (!(borrowed_ms == rhs.borrowed_ms))
+      return false;
     return true;
   }
   bool operator != (const board_line &rhs) const {
@@ -840,6 +879,460 @@
 std::ostream& operator<<(std::ostream& out, const report_reply& obj);
 
 
+/**
+ * How requests or calls ended in one window.
+ */
+class burn_window_line : public virtual ::apache::thrift::TBase {
+ public:
+
+  burn_window_line(const burn_window_line&);
+  burn_window_line(burn_window_line&&) noexcept;
+  burn_window_line& operator=(const burn_window_line&);
+  burn_window_line& operator=(burn_window_line&&) noexcept;
+  burn_window_line() noexcept
+                   : window(),
+                     judged(0),
+                     bad(0),
+                     burn_rate(0) {
+  }
+
+  virtual ~burn_window_line() noexcept;
+  /**
+   * Length: `5m`, `30m`, `1h` or `6h`.
+   */
+  std::string window;
+  /**
+   * Number of requests by the way they ended; names as in docs/reports.md.
+   */
+  std::map<std::string, int64_t>  ends;
+  /**
+   * Requests that the objective judges, and those that missed it.
+   */
+  int64_t judged;
+  int64_t bad;
+  /**
+   * 1 uses the error budget up exactly over the objective's period.
+   */
+  double burn_rate;
+
+  void __set_window(const std::string& val);
+
+  void __set_ends(const std::map<std::string, int64_t> & val);
+
+  void __set_judged(const int64_t val);
+
+  void __set_bad(const int64_t val);
+
+  void __set_burn_rate(const double val);
+
+  bool operator == (const burn_window_line & rhs) const
+  {
+    if (!(window == rhs.window))
+      return false;
+    if (!(ends == rhs.ends))
+      return false;
+    if (!(judged == rhs.judged))
+      return false;
+    if (!(bad == rhs.bad))
+      return false;
+    if (!(burn_rate == rhs.burn_rate))
+      return false;
+    return true;
+  }
+  bool operator != (const burn_window_line &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const burn_window_line & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(burn_window_line &a, burn_window_line &b);
+
+std::ostream& operator<<(std::ostream& out, const burn_window_line& obj);
+
+
+/**
+ * One kind of request of the member.
+ */
+class burn_kind : public virtual ::apache::thrift::TBase {
+ public:
+
+  burn_kind(const burn_kind&);
+  burn_kind(burn_kind&&) noexcept;
+  burn_kind& operator=(const burn_kind&);
+  burn_kind& operator=(burn_kind&&) noexcept;
+  burn_kind() noexcept
+            : service_name(),
+              kind(),
+              importance(),
+              objective(0),
+              budget_left(0),
+              alert() {
+  }
+
+  virtual ~burn_kind() noexcept;
+  std::string service_name;
+  std::string kind;
+  std::string importance;
+  /**
+   * Share of requests that are to end in time, 0 to 1.
+   */
+  double objective;
+  /**
+   * Part of the error budget of the last 6 h that is left.
+   */
+  double budget_left;
+  std::vector<burn_window_line>  windows;
+  /**
+   * `page` if 5m and 1h burn at 14.4 or more, else `ticket` if 30m and 6h
+   * burn at 6 or more, else empty.
+   */
+  std::string alert;
+
+  void __set_service_name(const std::string& val);
+
+  void __set_kind(const std::string& val);
+
+  void __set_importance(const std::string& val);
+
+  void __set_objective(const double val);
+
+  void __set_budget_left(const double val);
+
+  void __set_windows(const std::vector<burn_window_line> & val);
+
+  void __set_alert(const std::string& val);
+
+  bool operator == (const burn_kind & rhs) const
+  {
+    if (!(service_name == rhs.service_name))
+      return false;
+    if (!(kind == rhs.kind))
+      return false;
+    if (!(importance == rhs.importance))
+      return false;
+    if (!(objective == rhs.objective))
+      return false;
+    if (!(budget_left == rhs.budget_left))
+      return false;
+    if (!(windows == rhs.windows))
+      return false;
+    if (!(alert == rhs.alert))
+      return false;
+    return true;
+  }
+  bool operator != (const burn_kind &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const burn_kind & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(burn_kind &a, burn_kind &b);
+
+std::ostream& operator<<(std::ostream& out, const burn_kind& obj);
+
+
+/**
+ * What the upstream beside one node did for a kind in the last hour.
+ */
+class burn_upstream : public virtual ::apache::thrift::TBase {
+ public:
+
+  burn_upstream(const burn_upstream&);
+  burn_upstream(burn_upstream&&) noexcept;
+  burn_upstream& operator=(const burn_upstream&);
+  burn_upstream& operator=(burn_upstream&&) noexcept;
+  burn_upstream() noexcept
+                : node(),
+                  zone(),
+                  service_name(),
+                  kind() {
+  }
+
+  virtual ~burn_upstream() noexcept;
+  std::string node;
+  std::string zone;
+  std::string service_name;
+  std::string kind;
+  std::map<std::string, int64_t>  ends;
+
+  void __set_node(const std::string& val);
+
+  void __set_zone(const std::string& val);
+
+  void __set_service_name(const std::string& val);
+
+  void __set_kind(const std::string& val);
+
+  void __set_ends(const std::map<std::string, int64_t> & val);
+
+  bool operator == (const burn_upstream & rhs) const
+  {
+    if (!(node == rhs.node))
+      return false;
+    if (!(zone == rhs.zone))
+      return false;
+    if (!(service_name == rhs.service_name))
+      return false;
+    if (!(kind == rhs.kind))
+      return false;
+    if (!(ends == rhs.ends))
+      return false;
+    return true;
+  }
+  bool operator != (const burn_upstream &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const burn_upstream & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(burn_upstream &a, burn_upstream &b);
+
+std::ostream& operator<<(std::ostream& out, const burn_upstream& obj);
+
+
+/**
+ * A time in which the member's requests were shed.
+ */
+class burn_episode : public virtual ::apache::thrift::TBase {
+ public:
+
+  burn_episode(const burn_episode&) noexcept;
+  burn_episode(burn_episode&&) noexcept;
+  burn_episode& operator=(const burn_episode&) noexcept;
+  burn_episode& operator=(burn_episode&&) noexcept;
+  burn_episode() noexcept
+               : start_second(0),
+                 end_second(0),
+                 recovery_s(0) {
+  }
+
+  virtual ~burn_episode() noexcept;
+  /**
+   * Seconds since the Unix epoch; first and last second of shedding.
+   */
+  int64_t start_second;
+  int64_t end_second;
+  /**
+   * Seconds until requests completed again; -1 if not seen yet.
+   */
+  int64_t recovery_s;
+
+  void __set_start_second(const int64_t val);
+
+  void __set_end_second(const int64_t val);
+
+  void __set_recovery_s(const int64_t val);
+
+  bool operator == (const burn_episode & rhs) const
+  {
+    if (!(start_second == rhs.start_second))
+      return false;
+    if (!(end_second == rhs.end_second))
+      return false;
+    if (!(recovery_s == rhs.recovery_s))
+      return false;
+    return true;
+  }
+  bool operator != (const burn_episode &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const burn_episode & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(burn_episode &a, burn_episode &b);
+
+std::ostream& operator<<(std::ostream& out, const burn_episode& obj);
+
+
+/**
+ * One second of the member's requests.
+ */
+class burn_second : public virtual ::apache::thrift::TBase {
+ public:
+
+  burn_second(const burn_second&) noexcept;
+  burn_second(burn_second&&) noexcept;
+  burn_second& operator=(const burn_second&) noexcept;
+  burn_second& operator=(burn_second&&) noexcept;
+  burn_second() noexcept
+              : second(0),
+                ended(0),
+                in_time(0),
+                shed(0) {
+  }
+
+  virtual ~burn_second() noexcept;
+  int64_t second;
+  int64_t ended;
+  int64_t in_time;
+  int64_t shed;
+
+  void __set_second(const int64_t val);
+
+  void __set_ended(const int64_t val);
+
+  void __set_in_time(const int64_t val);
+
+  void __set_shed(const int64_t val);
+
+  bool operator == (const burn_second & rhs) const
+  {
+    if (!(second == rhs.second))
+      return false;
+    if (!(ended == rhs.ended))
+      return false;
+    if (!(in_time == rhs.in_time))
+      return false;
+    if (!(shed == rhs.shed))
+      return false;
+    return true;
+  }
+  bool operator != (const burn_second &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const burn_second & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(burn_second &a, burn_second &b);
+
+std::ostream& operator<<(std::ostream& out, const burn_second& obj);
+
+
+class burn_reply : public virtual ::apache::thrift::TBase {
+ public:
+
+  burn_reply(const burn_reply&);
+  burn_reply(burn_reply&&) noexcept;
+  burn_reply& operator=(const burn_reply&);
+  burn_reply& operator=(burn_reply&&) noexcept;
+  burn_reply() noexcept
+             : member(),
+               made_at(0),
+               nodes_heard(0),
+               nodes_known(0),
+               nodes_restarted(0),
+               kept_while_shedding(0),
+               left_out(0) {
+  }
+
+  virtual ~burn_reply() noexcept;
+  std::string member;
+  /**
+   * Seconds since the Unix epoch.
+   */
+  int64_t made_at;
+  std::vector<burn_kind>  kinds;
+  std::vector<burn_upstream>  upstreams;
+  std::vector<burn_episode>  episodes;
+  /**
+   * The last ten minutes; seconds without requests are left out.
+   */
+  std::vector<burn_second>  seconds;
+  int32_t nodes_heard;
+  int32_t nodes_known;
+  /**
+   * Nodes heard that started within the last 6 h; what their predecessors
+   * counted is lost.
+   */
+  int32_t nodes_restarted;
+  int64_t kept_while_shedding;
+  int64_t left_out;
+
+  void __set_member(const std::string& val);
+
+  void __set_made_at(const int64_t val);
+
+  void __set_kinds(const std::vector<burn_kind> & val);
+
+  void __set_upstreams(const std::vector<burn_upstream> & val);
+
+  void __set_episodes(const std::vector<burn_episode> & val);
+
+  void __set_seconds(const std::vector<burn_second> & val);
+
+  void __set_nodes_heard(const int32_t val);
+
+  void __set_nodes_known(const int32_t val);
+
+  void __set_nodes_restarted(const int32_t val);
+
+  void __set_kept_while_shedding(const int64_t val);
+
+  void __set_left_out(const int64_t val);
+
+  bool operator == (const burn_reply & rhs) const
+  {
+    if (!(member == rhs.member))
+      return false;
+    if (!(made_at == rhs.made_at))
+      return false;
+    if (!(kinds == rhs.kinds))
+      return false;
+    if (!(upstreams == rhs.upstreams))
+      return false;
+    if (!(episodes == rhs.episodes))
+      return false;
+    if (!(seconds == rhs.seconds))
+      return false;
+    if (!(nodes_heard == rhs.nodes_heard))
+      return false;
+    if (!(nodes_known == rhs.nodes_known))
+      return false;
+    if (!(nodes_restarted == rhs.nodes_restarted))
+      return false;
+    if (!(kept_while_shedding == rhs.kept_while_shedding))
+      return false;
+    if (!(left_out == rhs.left_out))
+      return false;
+    return true;
+  }
+  bool operator != (const burn_reply &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const burn_reply & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(burn_reply &a, burn_reply &b);
+
+std::ostream& operator<<(std::ostream& out, const burn_reply& obj);
+
+
 /**
  * The call was refused; `message` says why.
  */
--- a/src/gen/peer_types.cpp
+++ b/src/gen/peer_types.cpp
@@ -3195,6 +3195,21 @@
 void board_row::__set_runs_for_others(const int64_t val) {
   this->runs_for_others = val;
 }
+
+void board_row::__set_lent_ms(const int64_t val) {
+  this->lent_ms = val;
+__isset.lent_ms = true;
+}
+
+void board_row::__set_runs_borrowed(const int64_t val) {
+  this->runs_borrowed = val;
+__isset.runs_borrowed = true;
+}
+
+void board_row::__set_borrowed_ms(const int64_t val) {
+  this->borrowed_ms = val;
+__isset.borrowed_ms = true;
+}
 std::ostream& operator<<(std::ostream& out, const board_row& obj)
 {
   obj.printTo(out);
@@ -3331,6 +3346,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->lent_ms);
+          this->__isset.lent_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->runs_borrowed);
+          this->__isset.runs_borrowed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->borrowed_ms);
+          this->__isset.borrowed_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3420,6 +3459,21 @@
   xfer += oprot->writeI64(this->runs_for_others);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.lent_ms) {
+    xfer += oprot->writeFieldBegin("lent_ms", ::apache::thrift::protocol::T_I64, 13);
+    xfer += oprot->writeI64(this->lent_ms);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.runs_borrowed) {
+    xfer += oprot->writeFieldBegin("runs_borrowed", ::apache::thrift::protocol::T_I64, 14);
+    xfer += oprot->writeI64(this->runs_borrowed);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.borrowed_ms) {
+    xfer += oprot->writeFieldBegin("borrowed_ms", ::apache::thrift::protocol::T_I64, 15);
+    xfer += oprot->writeI64(this->borrowed_ms);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3439,6 +3493,10 @@
   swap(a.shed, b.shed);
   swap(a.upstream_runs, b.upstream_runs);
   swap(a.runs_for_others, b.runs_for_others);
+  swap(a.lent_ms, b.lent_ms);
+  swap(a.runs_borrowed, b.runs_borrowed);
+  swap(a.borrowed_ms, b.borrowed_ms);
+  swap(a.__isset, b.__isset);
 }
 
 board_row::board_row(const board_row& other85) {
@@ -3454,6 +3512,10 @@
   shed = other85.shed;
   upstream_runs = other85.upstream_runs;
   runs_for_others = other85.runs_for_others;
+  lent_ms = other85.lent_ms;
+  runs_borrowed = other85.runs_borrowed;
+  borrowed_ms = other85.borrowed_ms;
+  __isset = other85.__isset;
 }
 board_row::board_row(board_row&& other86) noexcept {
   member = std::move(other86.member);
@@ -3468,6 +3530,10 @@
   shed = other86.shed;
   upstream_runs = other86.upstream_runs;
   runs_for_others = other86.runs_for_others;
+  lent_ms = other86.lent_ms;
+  runs_borrowed = other86.runs_borrowed;
+  borrowed_ms = other86.borrowed_ms;
+  __isset = other86.__isset;
 }
 board_row& board_row::operator=(const board_row& other87) {
   member = other87.member;
@@ -3482,6 +3548,10 @@
   shed = other87.shed;
   upstream_runs = other87.upstream_runs;
   runs_for_others = other87.runs_for_others;
+  lent_ms = other87.lent_ms;
+  runs_borrowed = other87.runs_borrowed;
+  borrowed_ms = other87.borrowed_ms;
+  __isset = other87.__isset;
   return *this;
 }
 board_row& board_row::operator=(board_row&& other88) noexcept {
@@ -3497,6 +3567,10 @@
   shed = other88.shed;
   upstream_runs = other88.upstream_runs;
   runs_for_others = other88.runs_for_others;
+  lent_ms = other88.lent_ms;
+  runs_borrowed = other88.runs_borrowed;
+  borrowed_ms = other88.borrowed_ms;
+  __isset = other88.__isset;
   return *this;
 }
 void board_row::printTo(std::ostream& out) const {
@@ -3514,6 +3588,611 @@
   out << ", " << "shed=" << to_string(shed);
   out << ", " << "upstream_runs=" << to_string(upstream_runs);
   out << ", " << "runs_for_others=" << to_string(runs_for_others);
+  out << ", " << "lent_ms="; (__isset.lent_ms ? (out << to_string(lent_ms)) : (out << "<null>"));
+  out << ", " << "runs_borrowed="; (__isset.runs_borrowed ? (out << to_string(runs_borrowed)) : (out << "<null>"));
+  out << ", " << "borrowed_ms="; (__isset.borrowed_ms ? (out << to_string(borrowed_ms)) : (out << "<null>"));
+  out << ")";
+}
+
+
+burn_row::~burn_row() noexcept {
+}
+
+
+void burn_row::__set_service_name(const std::string& val) {
+  this->service_name = val;
+}
+
+void burn_row::__set_kind(const std::string& val) {
+  this->kind = val;
+}
+
+void burn_row::__set_at_upstream(const bool val) {
+  this->at_upstream = val;
+}
+
+void burn_row::__set_windows(const std::vector<std::vector<int64_t> > & val) {
+  this->windows = val;
+}
+std::ostream& operator<<(std::ostream& out, const burn_row& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t burn_row::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_service_name = false;
+  bool isset_kind = false;
+  bool isset_at_upstream = false;
+  bool isset_windows = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->service_name);
+          isset_service_name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->kind);
+          isset_kind = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->at_upstream);
+          isset_at_upstream = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->windows.clear();
+            uint32_t _size89;
+            ::apache::thrift::protocol::TType _etype92;
+            xfer += iprot->readListBegin(_etype92, _size89);
+            this->windows.resize(_size89);
+            uint32_t _i93;
+            for (_i93 = 0; _i93 < _size89; ++_i93)
+            {
+              {
+                this->windows[_i93].clear();
+                uint32_t _size94;
+                ::apache::thrift::protocol::TType _etype97;
+                xfer += iprot->readListBegin(_etype97, _size94);
+                this->windows[_i93].resize(_size94);
+                uint32_t _i98;
+                for (_i98 = 0; _i98 < _size94; ++_i98)
+                {
+                  xfer += iprot->readI64(this->windows[_i93][_i98]);
+                }
+                xfer += iprot->readListEnd();
+              }
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_windows = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_service_name)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_kind)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_at_upstream)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_windows)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t burn_row::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("burn_row");
+
+  xfer += oprot->writeFieldBegin("service_name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->service_name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->kind);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("at_upstream", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->at_upstream);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("windows", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_LIST, static_cast<uint32_t>(this->windows.size()));
+    std::vector<std::vector<int64_t> > ::const_iterator _iter99;
+    for (_iter99 = this->windows.begin(); _iter99 != this->windows.end(); ++_iter99)
+    {
+      {
+        xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>((*_iter99).size()));
+        std::vector<int64_t> ::const_iterator _iter100;
+        for (_iter100 = (*_iter99).begin(); _iter100 != (*_iter99).end(); ++_iter100)
+        {
+          xfer += oprot->writeI64((*_iter100));
+        }
+        xfer += oprot->writeListEnd();
+      }
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(burn_row &a, burn_row &b) {
+  using ::std::swap;
+  swap(a.service_name, b.service_name);
+  swap(a.kind, b.kind);
+  swap(a.at_upstream, b.at_upstream);
+  swap(a.windows, b.windows);
+}
+
+burn_row::burn_row(const burn_row& other101) {
+  service_name = other101.service_name;
+  kind = other101.kind;
+  at_upstream = other101.at_upstream;
+  windows = other101.windows;
+}
+burn_row::burn_row(burn_row&& other102) noexcept {
+  service_name = std::move(other102.service_name);
+  kind = std::move(other102.kind);
+  at_upstream = other102.at_upstream;
+  windows = std::move(other102.windows);
+}
+burn_row& burn_row::operator=(const burn_row& other103) {
+  service_name = other103.service_name;
+  kind = other103.kind;
+  at_upstream = other103.at_upstream;
+  windows = other103.windows;
+  return *this;
+}
+burn_row& burn_row::operator=(burn_row&& other104) noexcept {
+  service_name = std::move(other104.service_name);
+  kind = std::move(other104.kind);
+  at_upstream = other104.at_upstream;
+  windows = std::move(other104.windows);
+  return *this;
+}
+void burn_row::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "burn_row(";
+  out << "service_name=" << to_string(service_name);
+  out << ", " << "kind=" << to_string(kind);
+  out << ", " << "at_upstream=" << to_string(at_upstream);
+  out << ", " << "windows=" << to_string(windows);
+  out << ")";
+}
+
+
+load_second_record::~load_second_record() noexcept {
+}
+
+
+void load_second_record::__set_second(const int64_t val) {
+  this->second = val;
+}
+
+void load_second_record::__set_ended(const int64_t val) {
+  this->ended = val;
+}
+
+void load_second_record::__set_in_time(const int64_t val) {
+  this->in_time = val;
+}
+
+void load_second_record::__set_shed(const int64_t val) {
+  this->shed = val;
+}
+std::ostream& operator<<(std::ostream& out, const load_second_record& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t load_second_record::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_second = false;
+  bool isset_ended = false;
+  bool isset_in_time = false;
+  bool isset_shed = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->second);
+          isset_second = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ended);
+          isset_ended = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->in_time);
+          isset_in_time = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->shed);
+          isset_shed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_second)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_ended)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_in_time)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_shed)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t load_second_record::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("load_second_record");
+
+  xfer += oprot->writeFieldBegin("second", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->second);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ended", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->ended);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("in_time", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->in_time);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("shed", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->shed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(load_second_record &a, load_second_record &b) {
+  using ::std::swap;
+  swap(a.second, b.second);
+  swap(a.ended, b.ended);
+  swap(a.in_time, b.in_time);
+  swap(a.shed, b.shed);
+}
+
+load_second_record::load_second_record(const load_second_record& other105) noexcept {
+  second = other105.second;
+  ended = other105.ended;
+  in_time = other105.in_time;
+  shed = other105.shed;
+}
+load_second_record::load_second_record(load_second_record&& other106) noexcept {
+  second = other106.second;
+  ended = other106.ended;
+  in_time = other106.in_time;
+  shed = other106.shed;
+}
+load_second_record& load_second_record::operator=(const load_second_record& other107) noexcept {
+  second = other107.second;
+  ended = other107.ended;
+  in_time = other107.in_time;
+  shed = other107.shed;
+  return *this;
+}
+load_second_record& load_second_record::operator=(load_second_record&& other108) noexcept {
+  second = other108.second;
+  ended = other108.ended;
+  in_time = other108.in_time;
+  shed = other108.shed;
+  return *this;
+}
+void load_second_record::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "load_second_record(";
+  out << "second=" << to_string(second);
+  out << ", " << "ended=" << to_string(ended);
+  out << ", " << "in_time=" << to_string(in_time);
+  out << ", " << "shed=" << to_string(shed);
+  out << ")";
+}
+
+
+burn_part::~burn_part() noexcept {
+}
+
+
+void burn_part::__set_rows(const std::vector<burn_row> & val) {
+  this->rows = val;
+}
+
+void burn_part::__set_seconds(const std::vector<load_second_record> & val) {
+  this->seconds = val;
+}
+
+void burn_part::__set_kept_while_shedding(const int64_t val) {
+  this->kept_while_shedding = val;
+}
+
+void burn_part::__set_left_out(const int64_t val) {
+  this->left_out = val;
+}
+std::ostream& operator<<(std::ostream& out, const burn_part& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t burn_part::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_rows = false;
+  bool isset_seconds = false;
+  bool isset_kept_while_shedding = false;
+  bool isset_left_out = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->rows.clear();
+            uint32_t _size109;
+            ::apache::thrift::protocol::TType _etype112;
+            xfer += iprot->readListBegin(_etype112, _size109);
+            this->rows.resize(_size109);
+            uint32_t _i113;
+            for (_i113 = 0; _i113 < _size109; ++_i113)
+            {
+              xfer += this->rows[_i113].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_rows = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->seconds.clear();
+            uint32_t _size114;
+            ::apache::thrift::protocol::TType _etype117;
+            xfer += iprot->readListBegin(_etype117, _size114);
+            this->seconds.resize(_size114);
+            uint32_t _i118;
+            for (_i118 = 0; _i118 < _size114; ++_i118)
+            {
+              xfer += this->seconds[_i118].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_seconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->kept_while_shedding);
+          isset_kept_while_shedding = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->left_out);
+          isset_left_out = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_rows)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_seconds)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_kept_while_shedding)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_left_out)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t burn_part::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("burn_part");
+
+  xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
+    std::vector<burn_row> ::const_iterator _iter119;
+    for (_iter119 = this->rows.begin(); _iter119 != this->rows.end(); ++_iter119)
+    {
+      xfer += (*_iter119).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("seconds", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->seconds.size()));
+    std::vector<load_second_record> ::const_iterator _iter120;
+    for (_iter120 = this->seconds.begin(); _iter120 != this->seconds.end(); ++_iter120)
+    {
+      xfer += (*_iter120).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("kept_while_shedding", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->kept_while_shedding);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("left_out", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->left_out);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(burn_part &a, burn_part &b) {
+  using ::std::swap;
+  swap(a.rows, b.rows);
+  swap(a.seconds, b.seconds);
+  swap(a.kept_while_shedding, b.kept_while_shedding);
+  swap(a.left_out, b.left_out);
+}
+
+burn_part::burn_part(const burn_part& other121) {
+  rows = other121.rows;
+  seconds = other121.seconds;
+  kept_while_shedding = other121.kept_while_shedding;
+  left_out = other121.left_out;
+}
+burn_part::burn_part(burn_part&& other122) noexcept {
+  rows = std::move(other122.rows);
+  seconds = std::move(other122.seconds);
+  kept_while_shedding = other122.kept_while_shedding;
+  left_out = other122.left_out;
+}
+burn_part& burn_part::operator=(const burn_part& other123) {
+  rows = other123.rows;
+  seconds = other123.seconds;
+  kept_while_shedding = other123.kept_while_shedding;
+  left_out = other123.left_out;
+  return *this;
+}
+burn_part& burn_part::operator=(burn_part&& other124) noexcept {
+  rows = std::move(other124.rows);
+  seconds = std::move(other124.seconds);
+  kept_while_shedding = other124.kept_while_shedding;
+  left_out = other124.left_out;
+  return *this;
+}
+void burn_part::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "burn_part(";
+  out << "rows=" << to_string(rows);
+  out << ", " << "seconds=" << to_string(seconds);
+  out << ", " << "kept_while_shedding=" << to_string(kept_while_shedding);
+  out << ", " << "left_out=" << to_string(left_out);
   out << ")";
 }
 
@@ -3525,6 +4204,11 @@
 void board_pull::__set_request_id(const int64_t val) {
   this->request_id = val;
 }
+
+void board_pull::__set_burn_member(const std::string& val) {
+  this->burn_member = val;
+__isset.burn_member = true;
+}
 std::ostream& operator<<(std::ostream& out, const board_pull& obj)
 {
   obj.printTo(out);
@@ -3562,6 +4246,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->burn_member);
+          this->__isset.burn_member = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3585,6 +4277,11 @@
   xfer += oprot->writeI64(this->request_id);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.burn_member) {
+    xfer += oprot->writeFieldBegin("burn_member", ::apache::thrift::protocol::T_STRING, 2);
+    xfer += oprot->writeString(this->burn_member);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3593,26 +4290,37 @@
 void swap(board_pull &a, board_pull &b) {
   using ::std::swap;
   swap(a.request_id, b.request_id);
+  swap(a.burn_member, b.burn_member);
+  swap(a.__isset, b.__isset);
 }
 
-board_pull::board_pull(const board_pull& other89) noexcept {
-  request_id = other89.request_id;
+board_pull::board_pull(const board_pull& other125) {
+  request_id = other125.request_id;
+  burn_member = other125.burn_member;
+  __isset = other125.__isset;
 }
-board_pull::board_pull(board_pull&& other90) noexcept {
-  request_id = other90.request_id;
+board_pull::board_pull(board_pull&& other126) noexcept {
+  request_id = other126.request_id;
+  burn_member = std::move(other126.burn_member);
+  __isset = other126.__isset;
 }
-board_pull& board_pull::operator=(const board_pull& other91) noexcept {
-  request_id = other91.request_id;
+board_pull& board_pull::operator=(const board_pull& other127) {
+  request_id = other127.request_id;
+  burn_member = other127.burn_member;
+  __isset = other127.__isset;
   return *this;
 }
-board_pull& board_pull::operator=(board_pull&& other92) noexcept {
-  request_id = other92.request_id;
+board_pull& board_pull::operator=(board_pull&& other128) noexcept {
+  request_id = other128.request_id;
+  burn_member = std::move(other128.burn_member);
+  __isset = other128.__isset;
   return *this;
 }
 void board_pull::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "board_pull(";
   out << "request_id=" << to_string(request_id);
+  out << ", " << "burn_member="; (__isset.burn_member ? (out << to_string(burn_member)) : (out << "<null>"));
   out << ")";
 }
 
@@ -3640,6 +4348,16 @@
 void board_push::__set_in_force(const std::vector<space_digest> & val) {
   this->in_force = val;
 }
+
+void board_push::__set_burn(const burn_part& val) {
+  this->burn = val;
+__isset.burn = true;
+}
+
+void board_push::__set_zone(const std::string& val) {
+  this->zone = val;
+__isset.zone = true;
+}
 std::ostream& operator<<(std::ostream& out, const board_push& obj)
 {
   obj.printTo(out);
@@ -3701,14 +4419,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size93;
-            ::apache::thrift::protocol::TType _etype96;
-            xfer += iprot->readListBegin(_etype96, _size93);
-            this->rows.resize(_size93);
-            uint32_t _i97;
-            for (_i97 = 0; _i97 < _size93; ++_i97)
+            uint32_t _size129;
+            ::apache::thrift::protocol::TType _etype132;
+            xfer += iprot->readListBegin(_etype132, _size129);
+            this->rows.resize(_size129);
+            uint32_t _i133;
+            for (_i133 = 0; _i133 < _size129; ++_i133)
             {
-              xfer += this->rows[_i97].read(iprot);
+              xfer += this->rows[_i133].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3721,14 +4439,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->in_force.clear();
-            uint32_t _size98;
-            ::apache::thrift::protocol::TType _etype101;
-            xfer += iprot->readListBegin(_etype101, _size98);
-            this->in_force.resize(_size98);
-            uint32_t _i102;
-            for (_i102 = 0; _i102 < _size98; ++_i102)
+            uint32_t _size134;
+            ::apache::thrift::protocol::TType _etype137;
+            xfer += iprot->readListBegin(_etype137, _size134);
+            this->in_force.resize(_size134);
+            uint32_t _i138;
+            for (_i138 = 0; _i138 < _size134; ++_i138)
             {
-              xfer += this->in_force[_i102].read(iprot);
+              xfer += this->in_force[_i138].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3737,6 +4455,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->burn.read(iprot);
+          this->__isset.burn = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->zone);
+          this->__isset.zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3779,10 +4513,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<board_row> ::const_iterator _iter103;
-    for (_iter103 = this->rows.begin(); _iter103 != this->rows.end(); ++_iter103)
+    std::vector<board_row> ::const_iterator _iter139;
+    for (_iter139 = this->rows.begin(); _iter139 != this->rows.end(); ++_iter139)
     {
-      xfer += (*_iter103).write(oprot);
+      xfer += (*_iter139).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3791,15 +4525,25 @@
   xfer += oprot->writeFieldBegin("in_force", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->in_force.size()));
-    std::vector<space_digest> ::const_iterator _iter104;
-    for (_iter104 = this->in_force.begin(); _iter104 != this->in_force.end(); ++_iter104)
+    std::vector<space_digest> ::const_iterator _iter140;
+    for (_iter140 = this->in_force.begin(); _iter140 != this->in_force.end(); ++_iter140)
     {
-      xfer += (*_iter104).write(oprot);
+      xfer += (*_iter140).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.burn) {
+    xfer += oprot->writeFieldBegin("burn", ::apache::thrift::protocol::T_STRUCT, 6);
+    xfer += this->burn.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.zone) {
+    xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 7);
+    xfer += oprot->writeString(this->zone);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3812,36 +4556,51 @@
   swap(a.boot, b.boot);
   swap(a.rows, b.rows);
   swap(a.in_force, b.in_force);
+  swap(a.burn, b.burn);
+  swap(a.zone, b.zone);
+  swap(a.__isset, b.__isset);
 }
 
-board_push::board_push(const board_push& other105) {
-  request_id = other105.request_id;
-  node = other105.node;
-  boot = other105.boot;
-  rows = other105.rows;
-  in_force = other105.in_force;
-}
-board_push::board_push(board_push&& other106) noexcept {
-  request_id = other106.request_id;
-  node = std::move(other106.node);
-  boot = other106.boot;
-  rows = std::move(other106.rows);
-  in_force = std::move(other106.in_force);
-}
-board_push& board_push::operator=(const board_push& other107) {
-  request_id = other107.request_id;
-  node = other107.node;
-  boot = other107.boot;
-  rows = other107.rows;
-  in_force = other107.in_force;
+board_push::board_push(const board_push& other141) {
+  request_id = other141.request_id;
+  node = other141.node;
+  boot = other141.boot;
+  rows = other141.rows;
+  in_force = other141.in_force;
+  burn = other141.burn;
+  zone = other141.zone;
+  __isset = other141.__isset;
+}
+board_push::board_push(board_push&& other142) noexcept {
+  request_id = other142.request_id;
+  node = std::move(other142.node);
+  boot = other142.boot;
+  rows = std::move(other142.rows);
+  in_force = std::move(other142.in_force);
+  burn = std::move(other142.burn);
+  zone = std::move(other142.zone);
+  __isset = other142.__isset;
+}
+board_push& board_push::operator=(const board_push& other143) {
+  request_id = other143.request_id;
+  node = other143.node;
+  boot = other143.boot;
+  rows = other143.rows;
+  in_force = other143.in_force;
+  burn = other143.burn;
+  zone = other143.zone;
+  __isset = other143.__isset;
   return *this;
 }
-board_push& board_push::operator=(board_push&& other108) noexcept {
-  request_id = other108.request_id;
-  node = std::move(other108.node);
-  boot = other108.boot;
-  rows = std::move(other108.rows);
-  in_force = std::move(other108.in_force);
+board_push& board_push::operator=(board_push&& other144) noexcept {
+  request_id = other144.request_id;
+  node = std::move(other144.node);
+  boot = other144.boot;
+  rows = std::move(other144.rows);
+  in_force = std::move(other144.in_force);
+  burn = std::move(other144.burn);
+  zone = std::move(other144.zone);
+  __isset = other144.__isset;
   return *this;
 }
 void board_push::printTo(std::ostream& out) const {
@@ -3852,6 +4611,8 @@
   out << ", " << "boot=" << to_string(boot);
   out << ", " << "rows=" << to_string(rows);
   out << ", " << "in_force=" << to_string(in_force);
+  out << ", " << "burn="; (__isset.burn ? (out << to_string(burn)) : (out << "<null>"));
+  out << ", " << "zone="; (__isset.zone ? (out << to_string(zone)) : (out << "<null>"));
   out << ")";
 }
 
@@ -3973,26 +4734,26 @@
   swap(a.start_ms, b.start_ms);
 }
 
-seal_request::seal_request(const seal_request& other109) {
-  service_name = other109.service_name;
-  epoch = other109.epoch;
-  start_ms = other109.start_ms;
+seal_request::seal_request(const seal_request& other145) {
+  service_name = other145.service_name;
+  epoch = other145.epoch;
+  start_ms = other145.start_ms;
 }
-seal_request::seal_request(seal_request&& other110) noexcept {
-  service_name = std::move(other110.service_name);
-  epoch = other110.epoch;
-  start_ms = other110.start_ms;
+seal_request::seal_request(seal_request&& other146) noexcept {
+  service_name = std::move(other146.service_name);
+  epoch = other146.epoch;
+  start_ms = other146.start_ms;
 }
-seal_request& seal_request::operator=(const seal_request& other111) {
-  service_name = other111.service_name;
-  epoch = other111.epoch;
-  start_ms = other111.start_ms;
+seal_request& seal_request::operator=(const seal_request& other147) {
+  service_name = other147.service_name;
+  epoch = other147.epoch;
+  start_ms = other147.start_ms;
   return *this;
 }
-seal_request& seal_request::operator=(seal_request&& other112) noexcept {
-  service_name = std::move(other112.service_name);
-  epoch = other112.epoch;
-  start_ms = other112.start_ms;
+seal_request& seal_request::operator=(seal_request&& other148) noexcept {
+  service_name = std::move(other148.service_name);
+  epoch = other148.epoch;
+  start_ms = other148.start_ms;
   return *this;
 }
 void seal_request::printTo(std::ostream& out) const {
@@ -4202,42 +4963,42 @@
   swap(a.boot, b.boot);
 }
 
-seal_answer::seal_answer(const seal_answer& other113) {
-  service_name = other113.service_name;
-  epoch = other113.epoch;
-  start_ms = other113.start_ms;
-  sealed = other113.sealed;
-  latest_accepted_ms = other113.latest_accepted_ms;
-  node = other113.node;
-  boot = other113.boot;
-}
-seal_answer::seal_answer(seal_answer&& other114) noexcept {
-  service_name = std::move(other114.service_name);
-  epoch = other114.epoch;
-  start_ms = other114.start_ms;
-  sealed = other114.sealed;
-  latest_accepted_ms = other114.latest_accepted_ms;
-  node = std::move(other114.node);
-  boot = other114.boot;
-}
-seal_answer& seal_answer::operator=(const seal_answer& other115) {
-  service_name = other115.service_name;
-  epoch = other115.epoch;
-  start_ms = other115.start_ms;
-  sealed = other115.sealed;
-  latest_accepted_ms = other115.latest_accepted_ms;
-  node = other115.node;
-  boot = other115.boot;
+seal_answer::seal_answer(const seal_answer& other149) {
+  service_name = other149.service_name;
+  epoch = other149.epoch;
+  start_ms = other149.start_ms;
+  sealed = other149.sealed;
+  latest_accepted_ms = other149.latest_accepted_ms;
+  node = other149.node;
+  boot = other149.boot;
+}
+seal_answer::seal_answer(seal_answer&& other150) noexcept {
+  service_name = std::move(other150.service_name);
+  epoch = other150.epoch;
+  start_ms = other150.start_ms;
+  sealed = other150.sealed;
+  latest_accepted_ms = other150.latest_accepted_ms;
+  node = std::move(other150.node);
+  boot = other150.boot;
+}
+seal_answer& seal_answer::operator=(const seal_answer& other151) {
+  service_name = other151.service_name;
+  epoch = other151.epoch;
+  start_ms = other151.start_ms;
+  sealed = other151.sealed;
+  latest_accepted_ms = other151.latest_accepted_ms;
+  node = other151.node;
+  boot = other151.boot;
   return *this;
 }
-seal_answer& seal_answer::operator=(seal_answer&& other116) noexcept {
-  service_name = std::move(other116.service_name);
-  epoch = other116.epoch;
-  start_ms = other116.start_ms;
-  sealed = other116.sealed;
-  latest_accepted_ms = other116.latest_accepted_ms;
-  node = std::move(other116.node);
-  boot = other116.boot;
+seal_answer& seal_answer::operator=(seal_answer&& other152) noexcept {
+  service_name = std::move(other152.service_name);
+  epoch = other152.epoch;
+  start_ms = other152.start_ms;
+  sealed = other152.sealed;
+  latest_accepted_ms = other152.latest_accepted_ms;
+  node = std::move(other152.node);
+  boot = other152.boot;
   return *this;
 }
 void seal_answer::printTo(std::ostream& out) const {
@@ -4559,70 +5320,70 @@
   swap(a.__isset, b.__isset);
 }
 
-frame::frame(const frame& other117) {
-  hello_message = other117.hello_message;
-  request = other117.request;
-  answer = other117.answer;
-  cancel = other117.cancel;
-  notice = other117.notice;
-  pull = other117.pull;
-  push = other117.push;
-  digest = other117.digest;
-  board_request = other117.board_request;
-  board = other117.board;
-  seal = other117.seal;
-  sealed = other117.sealed;
-  beat = other117.beat;
-  __isset = other117.__isset;
-}
-frame::frame(frame&& other118) noexcept {
-  hello_message = std::move(other118.hello_message);
-  request = std::move(other118.request);
-  answer = std::move(other118.answer);
-  cancel = std::move(other118.cancel);
-  notice = std::move(other118.notice);
-  pull = std::move(other118.pull);
-  push = std::move(other118.push);
-  digest = std::move(other118.digest);
-  board_request = std::move(other118.board_request);
-  board = std::move(other118.board);
-  seal = std::move(other118.seal);
-  sealed = std::move(other118.sealed);
-  beat = std::move(other118.beat);
-  __isset = other118.__isset;
-}
-frame& frame::operator=(const frame& other119) {
-  hello_message = other119.hello_message;
-  request = other119.request;
-  answer = other119.answer;
-  cancel = other119.cancel;
-  notice = other119.notice;
-  pull = other119.pull;
-  push = other119.push;
-  digest = other119.digest;
-  board_request = other119.board_request;
-  board = other119.board;
-  seal = other119.seal;
-  sealed = other119.sealed;
-  beat = other119.beat;
-  __isset = other119.__isset;
+frame::frame(const frame& other153) {
+  hello_message = other153.hello_message;
+  request = other153.request;
+  answer = other153.answer;
+  cancel = other153.cancel;
+  notice = other153.notice;
+  pull = other153.pull;
+  push = other153.push;
+  digest = other153.digest;
+  board_request = other153.board_request;
+  board = other153.board;
+  seal = other153.seal;
+  sealed = other153.sealed;
+  beat = other153.beat;
+  __isset = other153.__isset;
+}
+frame::frame(frame&& other154) noexcept {
+  hello_message = std::move(other154.hello_message);
+  request = std::move(other154.request);
+  answer = std::move(other154.answer);
+  cancel = std::move(other154.cancel);
+  notice = std::move(other154.notice);
+  pull = std::move(other154.pull);
+  push = std::move(other154.push);
+  digest = std::move(other154.digest);
+  board_request = std::move(other154.board_request);
+  board = std::move(other154.board);
+  seal = std::move(other154.seal);
+  sealed = std::move(other154.sealed);
+  beat = std::move(other154.beat);
+  __isset = other154.__isset;
+}
+frame& frame::operator=(const frame& other155) {
+  hello_message = other155.hello_message;
+  request = other155.request;
+  answer = other155.answer;
+  cancel = other155.cancel;
+  notice = other155.notice;
+  pull = other155.pull;
+  push = other155.push;
+  digest = other155.digest;
+  board_request = other155.board_request;
+  board = other155.board;
+  seal = other155.seal;
+  sealed = other155.sealed;
+  beat = other155.beat;
+  __isset = other155.__isset;
   return *this;
 }
-frame& frame::operator=(frame&& other120) noexcept {
-  hello_message = std::move(other120.hello_message);
-  request = std::move(other120.request);
-  answer = std::move(other120.answer);
-  cancel = std::move(other120.cancel);
-  notice = std::move(other120.notice);
-  pull = std::move(other120.pull);
-  push = std::move(other120.push);
-  digest = std::move(other120.digest);
-  board_request = std::move(other120.board_request);
-  board = std::move(other120.board);
-  seal = std::move(other120.seal);
-  sealed = std::move(other120.sealed);
-  beat = std::move(other120.beat);
-  __isset = other120.__isset;
+frame& frame::operator=(frame&& other156) noexcept {
+  hello_message = std::move(other156.hello_message);
+  request = std::move(other156.request);
+  answer = std::move(other156.answer);
+  cancel = std::move(other156.cancel);
+  notice = std::move(other156.notice);
+  pull = std::move(other156.pull);
+  push = std::move(other156.push);
+  digest = std::move(other156.digest);
+  board_request = std::move(other156.board_request);
+  board = std::move(other156.board);
+  seal = std::move(other156.seal);
+  sealed = std::move(other156.sealed);
+  beat = std::move(other156.beat);
+  __isset = other156.__isset;
   return *this;
 }
 void frame::printTo(std::ostream& out) const {
@@ -4746,9 +5507,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast121;
-          xfer += iprot->readI32(ecast121);
-          this->kind = static_cast<datagram_kind::type>(ecast121);
+          int32_t ecast157;
+          xfer += iprot->readI32(ecast157);
+          this->kind = static_cast<datagram_kind::type>(ecast157);
           isset_kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -4782,14 +5543,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->updates.clear();
-            uint32_t _size122;
-            ::apache::thrift::protocol::TType _etype125;
-            xfer += iprot->readListBegin(_etype125, _size122);
-            this->updates.resize(_size122);
-            uint32_t _i126;
-            for (_i126 = 0; _i126 < _size122; ++_i126)
+            uint32_t _size158;
+            ::apache::thrift::protocol::TType _etype161;
+            xfer += iprot->readListBegin(_etype161, _size158);
+            this->updates.resize(_size158);
+            uint32_t _i162;
+            for (_i162 = 0; _i162 < _size158; ++_i162)
             {
-              xfer += this->updates[_i126].read(iprot);
+              xfer += this->updates[_i162].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4802,14 +5563,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->spaces.clear();
-            uint32_t _size127;
-            ::apache::thrift::protocol::TType _etype130;
-            xfer += iprot->readListBegin(_etype130, _size127);
-            this->spaces.resize(_size127);
-            uint32_t _i131;
-            for (_i131 = 0; _i131 < _size127; ++_i131)
+            uint32_t _size163;
+            ::apache::thrift::protocol::TType _etype166;
+            xfer += iprot->readListBegin(_etype166, _size163);
+            this->spaces.resize(_size163);
+            uint32_t _i167;
+            for (_i167 = 0; _i167 < _size163; ++_i167)
             {
-              xfer += this->spaces[_i131].read(iprot);
+              xfer += this->spaces[_i167].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4822,14 +5583,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspicions.clear();
-            uint32_t _size132;
-            ::apache::thrift::protocol::TType _etype135;
-            xfer += iprot->readListBegin(_etype135, _size132);
-            this->suspicions.resize(_size132);
-            uint32_t _i136;
-            for (_i136 = 0; _i136 < _size132; ++_i136)
+            uint32_t _size168;
+            ::apache::thrift::protocol::TType _etype171;
+            xfer += iprot->readListBegin(_etype171, _size168);
+            this->suspicions.resize(_size168);
+            uint32_t _i172;
+            for (_i172 = 0; _i172 < _size168; ++_i172)
             {
-              xfer += this->suspicions[_i136].read(iprot);
+              xfer += this->suspicions[_i172].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4858,14 +5619,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->bucket_hashes.clear();
-            uint32_t _size137;
-            ::apache::thrift::protocol::TType _etype140;
-            xfer += iprot->readListBegin(_etype140, _size137);
-            this->bucket_hashes.resize(_size137);
-            uint32_t _i141;
-            for (_i141 = 0; _i141 < _size137; ++_i141)
+            uint32_t _size173;
+            ::apache::thrift::protocol::TType _etype176;
+            xfer += iprot->readListBegin(_etype176, _size173);
+            this->bucket_hashes.resize(_size173);
+            uint32_t _i177;
+            for (_i177 = 0; _i177 < _size173; ++_i177)
             {
-              xfer += iprot->readI64(this->bucket_hashes[_i141]);
+              xfer += iprot->readI64(this->bucket_hashes[_i177]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4946,10 +5707,10 @@
   xfer += oprot->writeFieldBegin("updates", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->updates.size()));
-    std::vector<peer_record> ::const_iterator _iter142;
-    for (_iter142 = this->updates.begin(); _iter142 != this->updates.end(); ++_iter142)
+    std::vector<peer_record> ::const_iterator _iter178;
+    for (_iter178 = this->updates.begin(); _iter178 != this->updates.end(); ++_iter178)
     {
-      xfer += (*_iter142).write(oprot);
+      xfer += (*_iter178).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4958,10 +5719,10 @@
   xfer += oprot->writeFieldBegin("spaces", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->spaces.size()));
-    std::vector<space_digest> ::const_iterator _iter143;
-    for (_iter143 = this->spaces.begin(); _iter143 != this->spaces.end(); ++_iter143)
+    std::vector<space_digest> ::const_iterator _iter179;
+    for (_iter179 = this->spaces.begin(); _iter179 != this->spaces.end(); ++_iter179)
     {
-      xfer += (*_iter143).write(oprot);
+      xfer += (*_iter179).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4970,10 +5731,10 @@
   xfer += oprot->writeFieldBegin("suspicions", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspicions.size()));
-    std::vector<suspicion_record> ::const_iterator _iter144;
-    for (_iter144 = this->suspicions.begin(); _iter144 != this->suspicions.end(); ++_iter144)
+    std::vector<suspicion_record> ::const_iterator _iter180;
+    for (_iter180 = this->suspicions.begin(); _iter180 != this->suspicions.end(); ++_iter180)
     {
-      xfer += (*_iter144).write(oprot);
+      xfer += (*_iter180).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4990,10 +5751,10 @@
   xfer += oprot->writeFieldBegin("bucket_hashes", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->bucket_hashes.size()));
-    std::vector<int64_t> ::const_iterator _iter145;
-    for (_iter145 = this->bucket_hashes.begin(); _iter145 != this->bucket_hashes.end(); ++_iter145)
+    std::vector<int64_t> ::const_iterator _iter181;
+    for (_iter181 = this->bucket_hashes.begin(); _iter181 != this->bucket_hashes.end(); ++_iter181)
     {
-      xfer += oprot->writeI64((*_iter145));
+      xfer += oprot->writeI64((*_iter181));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5024,62 +5785,62 @@
   swap(a.reply_wanted, b.reply_wanted);
 }
 
-gossip_datagram::gossip_datagram(const gossip_datagram& other146) {
-  protocol_version = other146.protocol_version;
-  kind = other146.kind;
-  sequence = other146.sequence;
-  sender = other146.sender;
-  target = other146.target;
-  updates = other146.updates;
-  spaces = other146.spaces;
-  suspicions = other146.suspicions;
-  table_hash = other146.table_hash;
-  book_hash = other146.book_hash;
-  bucket_hashes = other146.bucket_hashes;
-  reply_wanted = other146.reply_wanted;
-}
-gossip_datagram::gossip_datagram(gossip_datagram&& other147) noexcept {
-  protocol_version = other147.protocol_version;
-  kind = other147.kind;
-  sequence = other147.sequence;
-  sender = std::move(other147.sender);
-  target = std::move(other147.target);
-  updates = std::move(other147.updates);
-  spaces = std::move(other147.spaces);
-  suspicions = std::move(other147.suspicions);
-  table_hash = other147.table_hash;
-  book_hash = other147.book_hash;
-  bucket_hashes = std::move(other147.bucket_hashes);
-  reply_wanted = other147.reply_wanted;
-}
-gossip_datagram& gossip_datagram::operator=(const gossip_datagram& other148) {
-  protocol_version = other148.protocol_version;
-  kind = other148.kind;
-  sequence = other148.sequence;
-  sender = other148.sender;
-  target = other148.target;
-  updates = other148.updates;
-  spaces = other148.spaces;
-  suspicions = other148.suspicions;
-  table_hash = other148.table_hash;
-  book_hash = other148.book_hash;
-  bucket_hashes = other148.bucket_hashes;
-  reply_wanted = other148.reply_wanted;
+gossip_datagram::gossip_datagram(const gossip_datagram& other182) {
+  protocol_version = other182.protocol_version;
+  kind = other182.kind;
+  sequence = other182.sequence;
+  sender = other182.sender;
+  target = other182.target;
+  updates = other182.updates;
+  spaces = other182.spaces;
+  suspicions = other182.suspicions;
+  table_hash = other182.table_hash;
+  book_hash = other182.book_hash;
+  bucket_hashes = other182.bucket_hashes;
+  reply_wanted = other182.reply_wanted;
+}
+gossip_datagram::gossip_datagram(gossip_datagram&& other183) noexcept {
+  protocol_version = other183.protocol_version;
+  kind = other183.kind;
+  sequence = other183.sequence;
+  sender = std::move(other183.sender);
+  target = std::move(other183.target);
+  updates = std::move(other183.updates);
+  spaces = std::move(other183.spaces);
+  suspicions = std::move(other183.suspicions);
+  table_hash = other183.table_hash;
+  book_hash = other183.book_hash;
+  bucket_hashes = std::move(other183.bucket_hashes);
+  reply_wanted = other183.reply_wanted;
+}
+gossip_datagram& gossip_datagram::operator=(const gossip_datagram& other184) {
+  protocol_version = other184.protocol_version;
+  kind = other184.kind;
+  sequence = other184.sequence;
+  sender = other184.sender;
+  target = other184.target;
+  updates = other184.updates;
+  spaces = other184.spaces;
+  suspicions = other184.suspicions;
+  table_hash = other184.table_hash;
+  book_hash = other184.book_hash;
+  bucket_hashes = other184.bucket_hashes;
+  reply_wanted = other184.reply_wanted;
   return *this;
 }
-gossip_datagram& gossip_datagram::operator=(gossip_datagram&& other149) noexcept {
-  protocol_version = other149.protocol_version;
-  kind = other149.kind;
-  sequence = other149.sequence;
-  sender = std::move(other149.sender);
-  target = std::move(other149.target);
-  updates = std::move(other149.updates);
-  spaces = std::move(other149.spaces);
-  suspicions = std::move(other149.suspicions);
-  table_hash = other149.table_hash;
-  book_hash = other149.book_hash;
-  bucket_hashes = std::move(other149.bucket_hashes);
-  reply_wanted = other149.reply_wanted;
+gossip_datagram& gossip_datagram::operator=(gossip_datagram&& other185) noexcept {
+  protocol_version = other185.protocol_version;
+  kind = other185.kind;
+  sequence = other185.sequence;
+  sender = std::move(other185.sender);
+  target = std::move(other185.target);
+  updates = std::move(other185.updates);
+  spaces = std::move(other185.spaces);
+  suspicions = std::move(other185.suspicions);
+  table_hash = other185.table_hash;
+  book_hash = other185.book_hash;
+  bucket_hashes = std::move(other185.bucket_hashes);
+  reply_wanted = other185.reply_wanted;
   return *this;
 }
 void gossip_datagram::printTo(std::ostream& out) const {
--- a/src/gen/peer_types.h
+++ b/src/gen/peer_types.h
@@ -95,6 +95,12 @@
 
 class board_row;
 
+class burn_row;
+
+class load_second_record;
+
+class burn_part;
+
 class board_pull;
 
 class board_push;
@@ -1188,6 +1194,12 @@
 
 std::ostream& operator<<(std::ostream& out, const suspicion_record& obj);
 
+typedef struct _board_row__isset {
+  _board_row__isset() : lent_ms(false), runs_borrowed(false), borrowed_ms(false) {}
+  bool lent_ms :1;
+  bool runs_borrowed :1;
+  bool borrowed_ms :1;
+} _board_row__isset;
 
 /**
  * Counts of one member on one node since the node started.
@@ -1211,7 +1223,10 @@
               retries(0),
               shed(0),
               upstream_runs(0),
-              runs_for_others(0) {
+              runs_for_others(0),
+              lent_ms(0),
+              runs_borrowed(0),
+              borrowed_ms(0) {
   }
 
   virtual ~board_row() noexcept;
@@ -1230,6 +1245,20 @@
    * Runs for requests that another member owns.
    */
   int64_t runs_for_others;
+  /**
+   * Time of those runs on the upstream, ms.
+   */
+  int64_t lent_ms;
+  /**
+   * Runs of this member's requests on upstreams of other members.
+   */
+  int64_t runs_borrowed;
+  /**
+   * Time of those runs on the upstream, ms.
+   */
+  int64_t borrowed_ms;
+
+  _board_row__isset __isset;
 
   void __set_member(const std::string& val);
 
@@ -1255,6 +1284,12 @@
 
   void __set_runs_for_others(const int64_t val);
 
+  void __set_lent_ms(const int64_t val);
+
+  void __set_runs_borrowed(const int64_t val);
+
+  void __set_borrowed_ms(const int64_t val);
+
   bool operator == (const board_row & rhs) const
   {
     if (!(member == rhs.member))
@@ -1281,6 +1316,18 @@
       return false;
     if (!(runs_for_others == rhs.runs_for_others))
       return false;
+    if (__isset.lent_ms != rhs.__isset.lent_ms)
+      return false;
+    else if (__isset.lent_ms && !(lent_ms == rhs.lent_ms))
+      return false;
+    if (__isset.runs_borrowed != rhs.__isset.runs_borrowed)
+      return false;
+    else if (__isset.runs_borrowed && !(runs_borrowed == rhs.runs_borrowed))
+      return false;
+    if (__isset.borrowed_ms != rhs.__isset.borrowed_ms)
+      return false;
+    else if (__isset.borrowed_ms && !(borrowed_ms == rhs.borrowed_ms))
+      return false;
     return true;
   }
   bool operator != (const board_row &rhs) const {
@@ -1300,26 +1347,236 @@
 std::ostream& operator<<(std::ostream& out, const board_row& obj);
 
 
+/**
+ * Ends of one kind in the windows of 5 min, 30 min, 1 h and 6 h.
+ */
+class burn_row : public virtual ::apache::thrift::TBase {
+ public:
+
+  burn_row(const burn_row&);
+  burn_row(burn_row&&) noexcept;
+  burn_row& operator=(const burn_row&);
+  burn_row& operator=(burn_row&&) noexcept;
+  burn_row() noexcept
+           : service_name(),
+             kind(),
+             at_upstream(0) {
+  }
+
+  virtual ~burn_row() noexcept;
+  std::string service_name;
+  std::string kind;
+  /**
+   * Whether these are calls at the upstream beside the node; otherwise
+   * whole requests that the node took from callers.
+   */
+  bool at_upstream;
+  /**
+   * Four lists of counts, each in the order of `request_end`.
+   */
+  std::vector<std::vector<int64_t> >  windows;
+
+  void __set_service_name(const std::string& val);
+
+  void __set_kind(const std::string& val);
+
+  void __set_at_upstream(const bool val);
+
+  void __set_windows(const std::vector<std::vector<int64_t> > & val);
+
+  bool operator == (const burn_row & rhs) const
+  {
+    if (!(service_name == rhs.service_name))
+      return false;
+    if (!(kind == rhs.kind))
+      return false;
+    if (!(at_upstream == rhs.at_upstream))
+      return false;
+    if (!(windows == rhs.windows))
+      return false;
+    return true;
+  }
+  bool operator != (const burn_row &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const burn_row & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(burn_row &a, burn_row &b);
+
+std::ostream& operator<<(std::ostream& out, const burn_row& obj);
+
+
+/**
+ * One second of the requests of a member.
+ */
+class load_second_record : public virtual ::apache::thrift::TBase {
+ public:
+
+  load_second_record(const load_second_record&) noexcept;
+  load_second_record(load_second_record&&) noexcept;
+  load_second_record& operator=(const load_second_record&) noexcept;
+  load_second_record& operator=(load_second_record&&) noexcept;
+  load_second_record() noexcept
+                     : second(0),
+                       ended(0),
+                       in_time(0),
+                       shed(0) {
+  }
+
+  virtual ~load_second_record() noexcept;
+  /**
+   * Seconds since the Unix epoch.
+   */
+  int64_t second;
+  int64_t ended;
+  int64_t in_time;
+  int64_t shed;
+
+  void __set_second(const int64_t val);
+
+  void __set_ended(const int64_t val);
+
+  void __set_in_time(const int64_t val);
+
+  void __set_shed(const int64_t val);
+
+  bool operator == (const load_second_record & rhs) const
+  {
+    if (!(second == rhs.second))
+      return false;
+    if (!(ended == rhs.ended))
+      return false;
+    if (!(in_time == rhs.in_time))
+      return false;
+    if (!(shed == rhs.shed))
+      return false;
+    return true;
+  }
+  bool operator != (const load_second_record &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const load_second_record & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(load_second_record &a, load_second_record &b);
+
+std::ostream& operator<<(std::ostream& out, const load_second_record& obj);
+
+
+/**
+ * What one node knows for a member's report.
+ */
+class burn_part : public virtual ::apache::thrift::TBase {
+ public:
+
+  burn_part(const burn_part&);
+  burn_part(burn_part&&) noexcept;
+  burn_part& operator=(const burn_part&);
+  burn_part& operator=(burn_part&&) noexcept;
+  burn_part() noexcept
+            : kept_while_shedding(0),
+              left_out(0) {
+  }
+
+  virtual ~burn_part() noexcept;
+  std::vector<burn_row>  rows;
+  std::vector<load_second_record>  seconds;
+  /**
+   * Important requests completed in minutes in which lower ones were shed.
+   */
+  int64_t kept_while_shedding;
+  /**
+   * Ends that were not counted because there were too many rows.
+   */
+  int64_t left_out;
+
+  void __set_rows(const std::vector<burn_row> & val);
+
+  void __set_seconds(const std::vector<load_second_record> & val);
+
+  void __set_kept_while_shedding(const int64_t val);
+
+  void __set_left_out(const int64_t val);
+
+  bool operator == (const burn_part & rhs) const
+  {
+    if (!(rows == rhs.rows))
+      return false;
+    if (!(seconds == rhs.seconds))
+      return false;
+    if (!(kept_while_shedding == rhs.kept_while_shedding))
+      return false;
+    if (!(left_out == rhs.left_out))
+      return false;
+    return true;
+  }
+  bool operator != (const burn_part &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const burn_part & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(burn_part &a, burn_part &b);
+
+std::ostream& operator<<(std::ostream& out, const burn_part& obj);
+
+typedef struct _board_pull__isset {
+  _board_pull__isset() : burn_member(false) {}
+  bool burn_member :1;
+} _board_pull__isset;
+
 class board_pull : public virtual ::apache::thrift::TBase {
  public:
 
-  board_pull(const board_pull&) noexcept;
+  board_pull(const board_pull&);
   board_pull(board_pull&&) noexcept;
-  board_pull& operator=(const board_pull&) noexcept;
+  board_pull& operator=(const board_pull&);
   board_pull& operator=(board_pull&&) noexcept;
   board_pull() noexcept
-             : request_id(0) {
+             : request_id(0),
+               burn_member() {
   }
 
   virtual ~board_pull() noexcept;
   int64_t request_id;
+  /**
+   * Member whose ends are wanted too; absent for none.
+   */
+  std::string burn_member;
+
+  _board_pull__isset __isset;
 
   void __set_request_id(const int64_t val);
 
+  void __set_burn_member(const std::string& val);
+
   bool operator == (const board_pull & rhs) const
   {
     if (!(request_id == rhs.request_id))
       return false;
+    if (__isset.burn_member != rhs.__isset.burn_member)
+      return false;
+    else if (__isset.burn_member && !(burn_member == rhs.burn_member))
+      return false;
     return true;
   }
   bool operator != (const board_pull &rhs) const {
@@ -1338,6 +1595,11 @@
 
 std::ostream& operator<<(std::ostream& out, const board_pull& obj);
 
+typedef struct _board_push__isset {
+  _board_push__isset() : burn(false), zone(false) {}
+  bool burn :1;
+  bool zone :1;
+} _board_push__isset;
 
 class board_push : public virtual ::apache::thrift::TBase {
  public:
@@ -1349,7 +1611,8 @@
   board_push() noexcept
              : request_id(0),
                node(),
-               boot(0) {
+               boot(0),
+               zone() {
   }
 
   virtual ~board_push() noexcept;
@@ -1358,6 +1621,13 @@
   int64_t boot;
   std::vector<board_row>  rows;
   std::vector<space_digest>  in_force;
+  /**
+   * Present if `burn_member` was asked for.
+   */
+  burn_part burn;
+  std::string zone;
+
+  _board_push__isset __isset;
 
   void __set_request_id(const int64_t val);
 
@@ -1369,6 +1639,10 @@
 
   void __set_in_force(const std::vector<space_digest> & val);
 
+  void __set_burn(const burn_part& val);
+
+  void __set_zone(const std::string& val);
+
   bool operator == (const board_push & rhs) const
   {
     if (!(request_id == rhs.request_id))
@@ -1381,6 +1655,14 @@
       return false;
     if (!(in_force == rhs.in_force))
       return false;
+    if (__isset.burn != rhs.__isset.burn)
+      return false;
+    else if (__isset.burn && !(burn == rhs.burn))
+      return false;
+    if (__isset.zone != rhs.__isset.zone)
+      return false;
+    else if (__isset.zone && !(zone == rhs.zone))
+      return false;
     return true;
   }
   bool operator != (const board_push &rhs) const {
--- a/src/gen/python/pollenhall_operator/operator_service.py
+++ b/src/gen/python/pollenhall_operator/operator_service.py
@@ -91,6 +91,16 @@
         """
         pass
 
+    def burn(self, member):
+        """
+        How fast the member's error budgets burn, and why.
+
+        Parameters:
+         - member
+
+        """
+        pass
+
 
 class Client(Iface):
     def __init__(self, iprot, oprot=None):
@@ -367,6 +377,42 @@
             raise result.error
         raise TApplicationException(TApplicationException.MISSING_RESULT, "report failed: unknown result")
 
+    def burn(self, member):
+        """
+        How fast the member's error budgets burn, and why.
+
+        Parameters:
+         - member
+
+        """
+        self.send_burn(member)
+        return self.recv_burn()
+
+    def send_burn(self, member):
+        self._oprot.writeMessageBegin('burn', TMessageType.CALL, self._seqid)
+        args = burn_args()
+        args.member = member
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_burn(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = burn_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        if result.error is not None:
+            raise result.error
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "burn failed: unknown result")
+
 
 class Processor(Iface, TProcessor):
     def __init__(self, handler):
@@ -380,6 +426,7 @@
         self._processMap["drain"] = Processor.process_drain
         self._processMap["undrain"] = Processor.process_undrain
         self._processMap["report"] = Processor.process_report
+        self._processMap["burn"] = Processor.process_burn
         self._on_message_begin = None
 
     def on_message_begin(self, func):
@@ -601,6 +648,32 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_burn(self, seqid, iprot, oprot):
+        args = burn_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = burn_result()
+        try:
+            result.success = self._handler.burn(args.member)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except operator_error as error:
+            msg_type = TMessageType.REPLY
+            result.error = error
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("burn", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
 # HELPER FUNCTIONS AND STRUCTURES
 
 
@@ -627,11 +700,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.documents = []
-                    (_etype77, _size74) = iprot.readListBegin()
-                    for _i78 in range(_size74):
-                        _elem79 = document()
-                        _elem79.read(iprot)
-                        self.documents.append(_elem79)
+                    (_etype130, _size127) = iprot.readListBegin()
+                    for _i131 in range(_size127):
+                        _elem132 = document()
+                        _elem132.read(iprot)
+                        self.documents.append(_elem132)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -648,8 +721,8 @@
         if self.documents is not None:
             oprot.writeFieldBegin('documents', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.documents))
-            for iter80 in self.documents:
-                iter80.write(oprot)
+            for iter133 in self.documents:
+                iter133.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -760,11 +833,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.documents = []
-                    (_etype84, _size81) = iprot.readListBegin()
-                    for _i85 in range(_size81):
-                        _elem86 = document()
-                        _elem86.read(iprot)
-                        self.documents.append(_elem86)
+                    (_etype137, _size134) = iprot.readListBegin()
+                    for _i138 in range(_size134):
+                        _elem139 = document()
+                        _elem139.read(iprot)
+                        self.documents.append(_elem139)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -781,8 +854,8 @@
         if self.documents is not None:
             oprot.writeFieldBegin('documents', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.documents))
-            for iter87 in self.documents:
-                iter87.write(oprot)
+            for iter140 in self.documents:
+                iter140.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1604,5 +1677,141 @@
     (0, TType.STRUCT, 'success', [report_reply, None], None, ),  # 0
     (1, TType.STRUCT, 'error', [operator_error, None], None, ),  # 1
 )
+
+
+class burn_args(object):
+    """
+    Attributes:
+     - member
+
+    """
+
+
+    def __init__(self, member=None,):
+        self.member = member
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.member = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('burn_args')
+        if self.member is not None:
+            oprot.writeFieldBegin('member', TType.STRING, 1)
+            oprot.writeString(self.member.encode('utf-8') if sys.version_info[0] == 2 else self.member)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(burn_args)
+burn_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'member', 'UTF8', None, ),  # 1
+)
+
+
+class burn_result(object):
+    """
+    Attributes:
+     - success
+     - error
+
+    """
+
+
+    def __init__(self, success=None, error=None,):
+        self.success = success
+        self.error = error
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.STRUCT:
+                    self.success = burn_reply()
+                    self.success.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 1:
+                if ftype == TType.STRUCT:
+                    self.error = operator_error.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('burn_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.STRUCT, 0)
+            self.success.write(oprot)
+            oprot.writeFieldEnd()
+        if self.error is not None:
+            oprot.writeFieldBegin('error', TType.STRUCT, 1)
+            self.error.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(burn_result)
+burn_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [burn_reply, None], None, ),  # 0
+    (1, TType.STRUCT, 'error', [operator_error, None], None, ),  # 1
+)
 fix_spec(all_structs)
 del all_structs
