--- a/src/gen/python/pollenhall_operator/ttypes.py
+++ b/src/gen/python/pollenhall_operator/ttypes.py
@@ -1063,11 +1063,14 @@
      - shed
      - upstream_runs
      - runs_for_others
+     - lent_ms: Time of those runs on the upstream, ms.
+     - runs_borrowed: Runs of this member's requests on upstreams of other members.
+     - borrowed_ms: Time of those runs on the upstream, ms.
 
     """
 
 
-    def __init__(self, service_name=None, kind=None, offered=None, completed_in_time=None, completed_late=None, not_run=None, unknown=None, retries=None, shed=None, upstream_runs=None, runs_for_others=None,):
+    def __init__(self, service_name=None, kind=None, offered=None, completed_in_time=None, completed_late=None, not_run=None, unknown=None, retries=None, shed=None, upstream_runs=None, runs_for_others=None, lent_ms=None, runs_borrowed=None, borrowed_ms=None,):
         self.service_name = service_name
         self.kind = kind
         self.offered = offered
@@ -1079,6 +1082,9 @@
         self.shed = shed
         self.upstream_runs = upstream_runs
         self.runs_for_others = runs_for_others
+        self.lent_ms = lent_ms
+        self.runs_borrowed = runs_borrowed
+        self.borrowed_ms = borrowed_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1144,6 +1150,676 @@
                     self.runs_for_others = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I64:
+                    self.lent_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.I64:
+                    self.runs_borrowed = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.I64:
+                    self.borrowed_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('board_line')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.kind is not None:
+            oprot.writeFieldBegin('kind', TType.STRING, 2)
+            oprot.writeString(self.kind.encode('utf-8') if sys.version_info[0] == 2 else self.kind)
+            oprot.writeFieldEnd()
+        if self.offered is not None:
+            oprot.writeFieldBegin('offered', TType.I64, 3)
+            oprot.writeI64(self.offered)
+            oprot.writeFieldEnd()
+        if self.completed_in_time is not None:
+            oprot.writeFieldBegin('completed_in_time', TType.I64, 4)
+            oprot.writeI64(self.completed_in_time)
+            oprot.writeFieldEnd()
+        if self.completed_late is not None:
+            oprot.writeFieldBegin('completed_late', TType.I64, 5)
+            oprot.writeI64(self.completed_late)
+            oprot.writeFieldEnd()
+        if self.not_run is not None:
+            oprot.writeFieldBegin('not_run', TType.I64, 6)
+            oprot.writeI64(self.not_run)
+            oprot.writeFieldEnd()
+        if self.unknown is not None:
+            oprot.writeFieldBegin('unknown', TType.I64, 7)
+            oprot.writeI64(self.unknown)
+            oprot.writeFieldEnd()
+        if self.retries is not None:
+            oprot.writeFieldBegin('retries', TType.I64, 8)
+            oprot.writeI64(self.retries)
+            oprot.writeFieldEnd()
+        if self.shed is not None:
+            oprot.writeFieldBegin('shed', TType.I64, 9)
+            oprot.writeI64(self.shed)
+            oprot.writeFieldEnd()
+        if self.upstream_runs is not None:
+            oprot.writeFieldBegin('upstream_runs', TType.I64, 10)
+            oprot.writeI64(self.upstream_runs)
+            oprot.writeFieldEnd()
+        if self.runs_for_others is not None:
+            oprot.writeFieldBegin('runs_for_others', TType.I64, 11)
+            oprot.writeI64(self.runs_for_others)
+            oprot.writeFieldEnd()
+        if self.lent_ms is not None:
+            oprot.writeFieldBegin('lent_ms', TType.I64, 12)
+            oprot.writeI64(self.lent_ms)
+            oprot.writeFieldEnd()
+        if self.runs_borrowed is not None:
+            oprot.writeFieldBegin('runs_borrowed', TType.I64, 13)
+            oprot.writeI64(self.runs_borrowed)
+            oprot.writeFieldEnd()
+        if self.borrowed_ms is not None:
+            oprot.writeFieldBegin('borrowed_ms', TType.I64, 14)
+            oprot.writeI64(self.borrowed_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.service_name is None:
+            raise TProtocolException(message='Required field service_name is unset!')
+        if self.kind is None:
+            raise TProtocolException(message='Required field kind is unset!')
+        if self.offered is None:
+            raise TProtocolException(message='Required field offered is unset!')
+        if self.completed_in_time is None:
+            raise TProtocolException(message='Required field completed_in_time is unset!')
+        if self.completed_late is None:
+            raise TProtocolException(message='Required field completed_late is unset!')
+        if self.not_run is None:
+            raise TProtocolException(message='Required field not_run is unset!')
+        if self.unknown is None:
+            raise TProtocolException(message='Required field unknown is unset!')
+        if self.retries is None:
+            raise TProtocolException(message='Required field retries is unset!')
+        if self.shed is None:
+            raise TProtocolException(message='Required field shed is unset!')
+        if self.upstream_runs is None:
+            raise TProtocolException(message='Required field upstream_runs is unset!')
+        if self.runs_for_others is None:
+            raise TProtocolException(message='Required field runs_for_others is unset!')
+        if self.lent_ms is None:
+            raise TProtocolException(message='Required field lent_ms is unset!')
+        if self.runs_borrowed is None:
+            raise TProtocolException(message='Required field runs_borrowed is unset!')
+        if self.borrowed_ms is None:
+            raise TProtocolException(message='Required field borrowed_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class report_reply(object):
+    """
+    Attributes:
+     - member
+     - lines
+     - nodes_heard
+     - nodes_known
+
+    """
+
+
+    def __init__(self, member=None, lines=None, nodes_heard=None, nodes_known=None,):
+        self.member = member
+        self.lines = lines
+        self.nodes_heard = nodes_heard
+        self.nodes_known = nodes_known
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.member = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.lines = []
+                    (_etype70, _size67) = iprot.readListBegin()
+                    for _i71 in range(_size67):
+                        _elem72 = board_line()
+                        _elem72.read(iprot)
+                        self.lines.append(_elem72)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.nodes_heard = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.nodes_known = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('report_reply')
+        if self.member is not None:
+            oprot.writeFieldBegin('member', TType.STRING, 1)
+            oprot.writeString(self.member.encode('utf-8') if sys.version_info[0] == 2 else self.member)
+            oprot.writeFieldEnd()
+        if self.lines is not None:
+            oprot.writeFieldBegin('lines', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.lines))
+            for iter73 in self.lines:
+                iter73.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.nodes_heard is not None:
+            oprot.writeFieldBegin('nodes_heard', TType.I32, 3)
+            oprot.writeI32(self.nodes_heard)
+            oprot.writeFieldEnd()
+        if self.nodes_known is not None:
+            oprot.writeFieldBegin('nodes_known', TType.I32, 4)
+            oprot.writeI32(self.nodes_known)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.member is None:
+            raise TProtocolException(message='Required field member is unset!')
+        if self.lines is None:
+            raise TProtocolException(message='Required field lines is unset!')
+        if self.nodes_heard is None:
+            raise TProtocolException(message='Required field nodes_heard is unset!')
+        if self.nodes_known is None:
+            raise TProtocolException(message='Required field nodes_known is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class burn_window_line(object):
+    """
+    How requests or calls ended in one window.
+
+    Attributes:
+     - window: Length: `5m`, `30m`, `1h` or `6h`.
+     - ends: Number of requests by the way they ended; names as in docs/reports.md.
+     - judged: Requests that the objective judges, and those that missed it.
+     - bad
+     - burn_rate: 1 uses the error budget up exactly over the objective's period.
+
+    """
+
+
+    def __init__(self, window=None, ends=None, judged=None, bad=None, burn_rate=None,):
+        self.window = window
+        self.ends = ends
+        self.judged = judged
+        self.bad = bad
+        self.burn_rate = burn_rate
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.window = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.MAP:
+                    self.ends = {}
+                    (_ktype75, _vtype76, _size74) = iprot.readMapBegin()
+                    for _i78 in range(_size74):
+                        _key79 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val80 = iprot.readI64()
+                        self.ends[_key79] = _val80
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.judged = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.bad = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.DOUBLE:
+                    self.burn_rate = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('burn_window_line')
+        if self.window is not None:
+            oprot.writeFieldBegin('window', TType.STRING, 1)
+            oprot.writeString(self.window.encode('utf-8') if sys.version_info[0] == 2 else self.window)
+            oprot.writeFieldEnd()
+        if self.ends is not None:
+            oprot.writeFieldBegin('ends', TType.MAP, 2)
+            oprot.writeMapBegin(TType.STRING, TType.I64, len(self.ends))
+            for kiter81, viter82 in self.ends.items():
+                oprot.writeString(kiter81.encode('utf-8') if sys.version_info[0] == 2 else kiter81)
+                oprot.writeI64(viter82)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        if self.judged is not None:
+            oprot.writeFieldBegin('judged', TType.I64, 3)
+            oprot.writeI64(self.judged)
+            oprot.writeFieldEnd()
+        if self.bad is not None:
+            oprot.writeFieldBegin('bad', TType.I64, 4)
+            oprot.writeI64(self.bad)
+            oprot.writeFieldEnd()
+        if self.burn_rate is not None:
+            oprot.writeFieldBegin('burn_rate', TType.DOUBLE, 5)
+            oprot.writeDouble(self.burn_rate)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.window is None:
+            raise TProtocolException(message='Required field window is unset!')
+        if self.ends is None:
+            raise TProtocolException(message='Required field ends is unset!')
+        if self.judged is None:
+            raise TProtocolException(message='Required field judged is unset!')
+        if self.bad is None:
+            raise TProtocolException(message='Required field bad is unset!')
+        if self.burn_rate is None:
+            raise TProtocolException(message='Required field burn_rate is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class burn_kind(object):
+    """
+    One kind of request of the member.
+
+    Attributes:
+     - service_name
+     - kind
+     - importance
+     - objective: Share of requests that are to end in time, 0 to 1.
+     - budget_left: Part of the error budget of the last 6 h that is left.
+     - windows
+     - alert: `page` if 5m and 1h burn at 14.4 or more, else `ticket` if 30m and 6h
+    burn at 6 or more, else empty.
+
+    """
+
+
+    def __init__(self, service_name=None, kind=None, importance=None, objective=None, budget_left=None, windows=None, alert=None,):
+        self.service_name = service_name
+        self.kind = kind
+        self.importance = importance
+        self.objective = objective
+        self.budget_left = budget_left
+        self.windows = windows
+        self.alert = alert
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.kind = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.importance = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.DOUBLE:
+                    self.objective = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.DOUBLE:
+                    self.budget_left = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.windows = []
+                    (_etype86, _size83) = iprot.readListBegin()
+                    for _i87 in range(_size83):
+                        _elem88 = burn_window_line()
+                        _elem88.read(iprot)
+                        self.windows.append(_elem88)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRING:
+                    self.alert = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('burn_kind')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.kind is not None:
+            oprot.writeFieldBegin('kind', TType.STRING, 2)
+            oprot.writeString(self.kind.encode('utf-8') if sys.version_info[0] == 2 else self.kind)
+            oprot.writeFieldEnd()
+        if self.importance is not None:
+            oprot.writeFieldBegin('importance', TType.STRING, 3)
+            oprot.writeString(self.importance.encode('utf-8') if sys.version_info[0] == 2 else self.importance)
+            oprot.writeFieldEnd()
+        if self.objective is not None:
+            oprot.writeFieldBegin('objective', TType.DOUBLE, 4)
+            oprot.writeDouble(self.objective)
+            oprot.writeFieldEnd()
+        if self.budget_left is not None:
+            oprot.writeFieldBegin('budget_left', TType.DOUBLE, 5)
+            oprot.writeDouble(self.budget_left)
+            oprot.writeFieldEnd()
+        if self.windows is not None:
+            oprot.writeFieldBegin('windows', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRUCT, len(self.windows))
+            for iter89 in self.windows:
+                iter89.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.alert is not None:
+            oprot.writeFieldBegin('alert', TType.STRING, 7)
+            oprot.writeString(self.alert.encode('utf-8') if sys.version_info[0] == 2 else self.alert)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.service_name is None:
+            raise TProtocolException(message='Required field service_name is unset!')
+        if self.kind is None:
+            raise TProtocolException(message='Required field kind is unset!')
+        if self.importance is None:
+            raise TProtocolException(message='Required field importance is unset!')
+        if self.objective is None:
+            raise TProtocolException(message='Required field objective is unset!')
+        if self.budget_left is None:
+            raise TProtocolException(message='Required field budget_left is unset!')
+        if self.windows is None:
+            raise TProtocolException(message='Required field windows is unset!')
+        if self.alert is None:
+            raise TProtocolException(message='Required field alert is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class burn_upstream(object):
+    """
+    What the upstream beside one node did for a kind in the last hour.
+
+    Attributes:
+     - node
+     - zone
+     - service_name
+     - kind
+     - ends
+
+    """
+
+
+    def __init__(self, node=None, zone=None, service_name=None, kind=None, ends=None,):
+        self.node = node
+        self.zone = zone
+        self.service_name = service_name
+        self.kind = kind
+        self.ends = ends
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.node = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.zone = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.kind = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.MAP:
+                    self.ends = {}
+                    (_ktype91, _vtype92, _size90) = iprot.readMapBegin()
+                    for _i94 in range(_size90):
+                        _key95 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val96 = iprot.readI64()
+                        self.ends[_key95] = _val96
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('burn_upstream')
+        if self.node is not None:
+            oprot.writeFieldBegin('node', TType.STRING, 1)
+            oprot.writeString(self.node.encode('utf-8') if sys.version_info[0] == 2 else self.node)
+            oprot.writeFieldEnd()
+        if self.zone is not None:
+            oprot.writeFieldBegin('zone', TType.STRING, 2)
+            oprot.writeString(self.zone.encode('utf-8') if sys.version_info[0] == 2 else self.zone)
+            oprot.writeFieldEnd()
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 3)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.kind is not None:
+            oprot.writeFieldBegin('kind', TType.STRING, 4)
+            oprot.writeString(self.kind.encode('utf-8') if sys.version_info[0] == 2 else self.kind)
+            oprot.writeFieldEnd()
+        if self.ends is not None:
+            oprot.writeFieldBegin('ends', TType.MAP, 5)
+            oprot.writeMapBegin(TType.STRING, TType.I64, len(self.ends))
+            for kiter97, viter98 in self.ends.items():
+                oprot.writeString(kiter97.encode('utf-8') if sys.version_info[0] == 2 else kiter97)
+                oprot.writeI64(viter98)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.node is None:
+            raise TProtocolException(message='Required field node is unset!')
+        if self.zone is None:
+            raise TProtocolException(message='Required field zone is unset!')
+        if self.service_name is None:
+            raise TProtocolException(message='Required field service_name is unset!')
+        if self.kind is None:
+            raise TProtocolException(message='Required field kind is unset!')
+        if self.ends is None:
+            raise TProtocolException(message='Required field ends is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class burn_episode(object):
+    """
+    A time in which the member's requests were shed.
+
+    Attributes:
+     - start_second: Seconds since the Unix epoch; first and last second of shedding.
+     - end_second
+     - recovery_s: Seconds until requests completed again; -1 if not seen yet.
+
+    """
+
+
+    def __init__(self, start_second=None, end_second=None, recovery_s=None,):
+        self.start_second = start_second
+        self.end_second = end_second
+        self.recovery_s = recovery_s
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.start_second = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.end_second = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.recovery_s = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1153,77 +1829,129 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('board_line')
-        if self.service_name is not None:
-            oprot.writeFieldBegin('service_name', TType.STRING, 1)
-            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
-            oprot.writeFieldEnd()
-        if self.kind is not None:
-            oprot.writeFieldBegin('kind', TType.STRING, 2)
-            oprot.writeString(self.kind.encode('utf-8') if sys.version_info[0] == 2 else self.kind)
-            oprot.writeFieldEnd()
-        if self.offered is not None:
-            oprot.writeFieldBegin('offered', TType.I64, 3)
-            oprot.writeI64(self.offered)
+        oprot.writeStructBegin('burn_episode')
+        if self.start_second is not None:
+            oprot.writeFieldBegin('start_second', TType.I64, 1)
+            oprot.writeI64(self.start_second)
             oprot.writeFieldEnd()
-        if self.completed_in_time is not None:
-            oprot.writeFieldBegin('completed_in_time', TType.I64, 4)
-            oprot.writeI64(self.completed_in_time)
+        if self.end_second is not None:
+            oprot.writeFieldBegin('end_second', TType.I64, 2)
+            oprot.writeI64(self.end_second)
             oprot.writeFieldEnd()
-        if self.completed_late is not None:
-            oprot.writeFieldBegin('completed_late', TType.I64, 5)
-            oprot.writeI64(self.completed_late)
+        if self.recovery_s is not None:
+            oprot.writeFieldBegin('recovery_s', TType.I64, 3)
+            oprot.writeI64(self.recovery_s)
             oprot.writeFieldEnd()
-        if self.not_run is not None:
-            oprot.writeFieldBegin('not_run', TType.I64, 6)
-            oprot.writeI64(self.not_run)
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.start_second is None:
+            raise TProtocolException(message='Required field start_second is unset!')
+        if self.end_second is None:
+            raise TProtocolException(message='Required field end_second is unset!')
+        if self.recovery_s is None:
+            raise TProtocolException(message='Required field recovery_s is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class burn_second(object):
+    """
+    One second of the member's requests.
+
+    Attributes:
+     - second
+     - ended
+     - in_time
+     - shed
+
+    """
+
+
+    def __init__(self, second=None, ended=None, in_time=None, shed=None,):
+        self.second = second
+        self.ended = ended
+        self.in_time = in_time
+        self.shed = shed
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.second = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.ended = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.in_time = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.shed = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('burn_second')
+        if self.second is not None:
+            oprot.writeFieldBegin('second', TType.I64, 1)
+            oprot.writeI64(self.second)
             oprot.writeFieldEnd()
-        if self.unknown is not None:
-            oprot.writeFieldBegin('unknown', TType.I64, 7)
-            oprot.writeI64(self.unknown)
+        if self.ended is not None:
+            oprot.writeFieldBegin('ended', TType.I64, 2)
+            oprot.writeI64(self.ended)
             oprot.writeFieldEnd()
-        if self.retries is not None:
-            oprot.writeFieldBegin('retries', TType.I64, 8)
-            oprot.writeI64(self.retries)
+        if self.in_time is not None:
+            oprot.writeFieldBegin('in_time', TType.I64, 3)
+            oprot.writeI64(self.in_time)
             oprot.writeFieldEnd()
         if self.shed is not None:
-            oprot.writeFieldBegin('shed', TType.I64, 9)
+            oprot.writeFieldBegin('shed', TType.I64, 4)
             oprot.writeI64(self.shed)
             oprot.writeFieldEnd()
-        if self.upstream_runs is not None:
-            oprot.writeFieldBegin('upstream_runs', TType.I64, 10)
-            oprot.writeI64(self.upstream_runs)
-            oprot.writeFieldEnd()
-        if self.runs_for_others is not None:
-            oprot.writeFieldBegin('runs_for_others', TType.I64, 11)
-            oprot.writeI64(self.runs_for_others)
-            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
     def validate(self):
-        if self.service_name is None:
-            raise TProtocolException(message='Required field service_name is unset!')
-        if self.kind is None:
-            raise TProtocolException(message='Required field kind is unset!')
-        if self.offered is None:
-            raise TProtocolException(message='Required field offered is unset!')
-        if self.completed_in_time is None:
-            raise TProtocolException(message='Required field completed_in_time is unset!')
-        if self.completed_late is None:
-            raise TProtocolException(message='Required field completed_late is unset!')
-        if self.not_run is None:
-            raise TProtocolException(message='Required field not_run is unset!')
-        if self.unknown is None:
-            raise TProtocolException(message='Required field unknown is unset!')
-        if self.retries is None:
-            raise TProtocolException(message='Required field retries is unset!')
+        if self.second is None:
+            raise TProtocolException(message='Required field second is unset!')
+        if self.ended is None:
+            raise TProtocolException(message='Required field ended is unset!')
+        if self.in_time is None:
+            raise TProtocolException(message='Required field in_time is unset!')
         if self.shed is None:
             raise TProtocolException(message='Required field shed is unset!')
-        if self.upstream_runs is None:
-            raise TProtocolException(message='Required field upstream_runs is unset!')
-        if self.runs_for_others is None:
-            raise TProtocolException(message='Required field runs_for_others is unset!')
         return
 
     def __repr__(self):
@@ -1238,22 +1966,37 @@
         return not (self == other)
 
 
-class report_reply(object):
+class burn_reply(object):
     """
     Attributes:
      - member
-     - lines
+     - made_at: Seconds since the Unix epoch.
+     - kinds
+     - upstreams
+     - episodes
+     - seconds: The last ten minutes; seconds without requests are left out.
      - nodes_heard
      - nodes_known
+     - nodes_restarted: Nodes heard that started within the last 6 h; what their predecessors
+    counted is lost.
+     - kept_while_shedding
+     - left_out
 
     """
 
 
-    def __init__(self, member=None, lines=None, nodes_heard=None, nodes_known=None,):
+    def __init__(self, member=None, made_at=None, kinds=None, upstreams=None, episodes=None, seconds=None, nodes_heard=None, nodes_known=None, nodes_restarted=None, kept_while_shedding=None, left_out=None,):
         self.member = member
-        self.lines = lines
+        self.made_at = made_at
+        self.kinds = kinds
+        self.upstreams = upstreams
+        self.episodes = episodes
+        self.seconds = seconds
         self.nodes_heard = nodes_heard
         self.nodes_known = nodes_known
+        self.nodes_restarted = nodes_restarted
+        self.kept_while_shedding = kept_while_shedding
+        self.left_out = left_out
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1270,26 +2013,79 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
+                if ftype == TType.I64:
+                    self.made_at = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
                 if ftype == TType.LIST:
-                    self.lines = []
-                    (_etype70, _size67) = iprot.readListBegin()
-                    for _i71 in range(_size67):
-                        _elem72 = board_line()
-                        _elem72.read(iprot)
-                        self.lines.append(_elem72)
+                    self.kinds = []
+                    (_etype102, _size99) = iprot.readListBegin()
+                    for _i103 in range(_size99):
+                        _elem104 = burn_kind()
+                        _elem104.read(iprot)
+                        self.kinds.append(_elem104)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 3:
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.upstreams = []
+                    (_etype108, _size105) = iprot.readListBegin()
+                    for _i109 in range(_size105):
+                        _elem110 = burn_upstream()
+                        _elem110.read(iprot)
+                        self.upstreams.append(_elem110)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.episodes = []
+                    (_etype114, _size111) = iprot.readListBegin()
+                    for _i115 in range(_size111):
+                        _elem116 = burn_episode()
+                        _elem116.read(iprot)
+                        self.episodes.append(_elem116)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.seconds = []
+                    (_etype120, _size117) = iprot.readListBegin()
+                    for _i121 in range(_size117):
+                        _elem122 = burn_second()
+                        _elem122.read(iprot)
+                        self.seconds.append(_elem122)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
                 if ftype == TType.I32:
                     self.nodes_heard = iprot.readI32()
                 else:
                     iprot.skip(ftype)
-            elif fid == 4:
+            elif fid == 8:
                 if ftype == TType.I32:
                     self.nodes_known = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I32:
+                    self.nodes_restarted = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.kept_while_shedding = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I64:
+                    self.left_out = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1299,38 +2095,89 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('report_reply')
+        oprot.writeStructBegin('burn_reply')
         if self.member is not None:
             oprot.writeFieldBegin('member', TType.STRING, 1)
             oprot.writeString(self.member.encode('utf-8') if sys.version_info[0] == 2 else self.member)
             oprot.writeFieldEnd()
-        if self.lines is not None:
-            oprot.writeFieldBegin('lines', TType.LIST, 2)
-            oprot.writeListBegin(TType.STRUCT, len(self.lines))
-            for iter73 in self.lines:
-                iter73.write(oprot)
+        if self.made_at is not None:
+            oprot.writeFieldBegin('made_at', TType.I64, 2)
+            oprot.writeI64(self.made_at)
+            oprot.writeFieldEnd()
+        if self.kinds is not None:
+            oprot.writeFieldBegin('kinds', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.kinds))
+            for iter123 in self.kinds:
+                iter123.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.upstreams is not None:
+            oprot.writeFieldBegin('upstreams', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.upstreams))
+            for iter124 in self.upstreams:
+                iter124.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.episodes is not None:
+            oprot.writeFieldBegin('episodes', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.episodes))
+            for iter125 in self.episodes:
+                iter125.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.seconds is not None:
+            oprot.writeFieldBegin('seconds', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRUCT, len(self.seconds))
+            for iter126 in self.seconds:
+                iter126.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.nodes_heard is not None:
-            oprot.writeFieldBegin('nodes_heard', TType.I32, 3)
+            oprot.writeFieldBegin('nodes_heard', TType.I32, 7)
             oprot.writeI32(self.nodes_heard)
             oprot.writeFieldEnd()
         if self.nodes_known is not None:
-            oprot.writeFieldBegin('nodes_known', TType.I32, 4)
+            oprot.writeFieldBegin('nodes_known', TType.I32, 8)
             oprot.writeI32(self.nodes_known)
             oprot.writeFieldEnd()
+        if self.nodes_restarted is not None:
+            oprot.writeFieldBegin('nodes_restarted', TType.I32, 9)
+            oprot.writeI32(self.nodes_restarted)
+            oprot.writeFieldEnd()
+        if self.kept_while_shedding is not None:
+            oprot.writeFieldBegin('kept_while_shedding', TType.I64, 10)
+            oprot.writeI64(self.kept_while_shedding)
+            oprot.writeFieldEnd()
+        if self.left_out is not None:
+            oprot.writeFieldBegin('left_out', TType.I64, 11)
+            oprot.writeI64(self.left_out)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
     def validate(self):
         if self.member is None:
             raise TProtocolException(message='Required field member is unset!')
-        if self.lines is None:
-            raise TProtocolException(message='Required field lines is unset!')
+        if self.made_at is None:
+            raise TProtocolException(message='Required field made_at is unset!')
+        if self.kinds is None:
+            raise TProtocolException(message='Required field kinds is unset!')
+        if self.upstreams is None:
+            raise TProtocolException(message='Required field upstreams is unset!')
+        if self.episodes is None:
+            raise TProtocolException(message='Required field episodes is unset!')
+        if self.seconds is None:
+            raise TProtocolException(message='Required field seconds is unset!')
         if self.nodes_heard is None:
             raise TProtocolException(message='Required field nodes_heard is unset!')
         if self.nodes_known is None:
             raise TProtocolException(message='Required field nodes_known is unset!')
+        if self.nodes_restarted is None:
+            raise TProtocolException(message='Required field nodes_restarted is unset!')
+        if self.kept_while_shedding is None:
+            raise TProtocolException(message='Required field kept_while_shedding is unset!')
+        if self.left_out is None:
+            raise TProtocolException(message='Required field left_out is unset!')
         return
 
     def __repr__(self):
@@ -1507,6 +2354,9 @@
     (9, TType.I64, 'shed', None, None, ),  # 9
     (10, TType.I64, 'upstream_runs', None, None, ),  # 10
     (11, TType.I64, 'runs_for_others', None, None, ),  # 11
+    (12, TType.I64, 'lent_ms', None, None, ),  # 12
+    (13, TType.I64, 'runs_borrowed', None, None, ),  # 13
+    (14, TType.I64, 'borrowed_ms', None, None, ),  # 14
 )
 all_structs.append(report_reply)
 report_reply.thrift_spec = (
@@ -1516,6 +2366,65 @@
     (3, TType.I32, 'nodes_heard', None, None, ),  # 3
     (4, TType.I32, 'nodes_known', None, None, ),  # 4
 )
+all_structs.append(burn_window_line)
+burn_window_line.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'window', 'UTF8', None, ),  # 1
+    (2, TType.MAP, 'ends', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 2
+    (3, TType.I64, 'judged', None, None, ),  # 3
+    (4, TType.I64, 'bad', None, None, ),  # 4
+    (5, TType.DOUBLE, 'burn_rate', None, None, ),  # 5
+)
+all_structs.append(burn_kind)
+burn_kind.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'kind', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'importance', 'UTF8', None, ),  # 3
+    (4, TType.DOUBLE, 'objective', None, None, ),  # 4
+    (5, TType.DOUBLE, 'budget_left', None, None, ),  # 5
+    (6, TType.LIST, 'windows', (TType.STRUCT, [burn_window_line, None], False), None, ),  # 6
+    (7, TType.STRING, 'alert', 'UTF8', None, ),  # 7
+)
+all_structs.append(burn_upstream)
+burn_upstream.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'node', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'zone', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'service_name', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'kind', 'UTF8', None, ),  # 4
+    (5, TType.MAP, 'ends', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 5
+)
+all_structs.append(burn_episode)
+burn_episode.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'start_second', None, None, ),  # 1
+    (2, TType.I64, 'end_second', None, None, ),  # 2
+    (3, TType.I64, 'recovery_s', None, None, ),  # 3
+)
+all_structs.append(burn_second)
+burn_second.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'second', None, None, ),  # 1
+    (2, TType.I64, 'ended', None, None, ),  # 2
+    (3, TType.I64, 'in_time', None, None, ),  # 3
+    (4, TType.I64, 'shed', None, None, ),  # 4
+)
+all_structs.append(burn_reply)
+burn_reply.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'member', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'made_at', None, None, ),  # 2
+    (3, TType.LIST, 'kinds', (TType.STRUCT, [burn_kind, None], False), None, ),  # 3
+    (4, TType.LIST, 'upstreams', (TType.STRUCT, [burn_upstream, None], False), None, ),  # 4
+    (5, TType.LIST, 'episodes', (TType.STRUCT, [burn_episode, None], False), None, ),  # 5
+    (6, TType.LIST, 'seconds', (TType.STRUCT, [burn_second, None], False), None, ),  # 6
+    (7, TType.I32, 'nodes_heard', None, None, ),  # 7
+    (8, TType.I32, 'nodes_known', None, None, ),  # 8
+    (9, TType.I32, 'nodes_restarted', None, None, ),  # 9
+    (10, TType.I64, 'kept_while_shedding', None, None, ),  # 10
+    (11, TType.I64, 'left_out', None, None, ),  # 11
+)
 all_structs.append(operator_error)
 operator_error.thrift_spec = (
     None,  # 0
--- a/src/include/pollenhall/board.hpp
+++ b/src/include/pollenhall/board.hpp
@@ -31,6 +31,12 @@
     std::int64_t upstream_runs = 0;
     /// The part of `upstream_runs` for requests of other members.
     std::int64_t runs_for_others = 0;
+    /// Time of those runs, ms.
+    std::int64_t lent_ms = 0;
+    /// Runs of the member's requests on other members' upstreams.
+    std::int64_t runs_borrowed = 0;
+    /// Time of those runs, ms.
+    std::int64_t borrowed_ms = 0;
 
     board_counts& operator+=(board_counts const& other);
     bool operator==(board_counts const&) const = default;
--- a/src/include/pollenhall/io/wire_codec.hpp
+++ b/src/include/pollenhall/io/wire_codec.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <pollenhall/board.hpp>
+#include <pollenhall/burn_history.hpp>
 #include <pollenhall/document_book.hpp>
 #include <pollenhall/home_roster.hpp>
 #include <pollenhall/io/calls.hpp>
@@ -53,6 +54,11 @@
 space_update from_wire(wire::space_push const& push);
 std::vector<wire::board_row> to_wire(board const& counts);
 board from_wire(std::vector<wire::board_row> const& rows);
+
+/// What a history tells of a member, and back.
+wire::burn_part to_wire(burn_history const& history, member_name const& member,
+                        wall_time now);
+burn_summary from_wire(wire::burn_part const& part, member_name const& member);
 wire::space_digest to_wire(space_digest const& digest);
 space_digest from_wire(wire::space_digest const& digest);
 
--- a/src/libpollenhall/board.cpp
+++ b/src/libpollenhall/board.cpp
@@ -16,6 +16,9 @@
     shed += other.shed;
     upstream_runs += other.upstream_runs;
     runs_for_others += other.runs_for_others;
+    lent_ms += other.lent_ms;
+    runs_borrowed += other.runs_borrowed;
+    borrowed_ms += other.borrowed_ms;
     return *this;
 }
 
--- /dev/null
+++ b/src/libpollenhall/burn_history.cpp
@@ -0,0 +1,341 @@
+// Implements the history of ends and what is computed from it.
+
+#include <pollenhall/burn_history.hpp>
+
+#include <algorithm>
+
+namespace pollenhall
+{
+namespace
+{
+
+constexpr std::array<std::string_view, request_end_count> end_names{
+    "in_time", "late",        "shed",        "deadline",  "retries_exhausted",
+    "unknown", "quarantined", "unavailable", "not_judged"};
+constexpr std::array<std::string_view, all_burn_windows.size()> window_names{
+    "5m", "30m", "1h", "6h"};
+constexpr std::array<int, all_burn_windows.size()> window_minutes{5, 30, 60,
+                                                                  360};
+constexpr std::int64_t ms_per_second = 1'000;
+constexpr std::int64_t ms_per_minute = 60'000;
+// A recovery is over after this many good seconds running, and shedding that
+// pauses for no longer belongs to the same episode.
+constexpr std::int64_t settled_seconds = 5;
+constexpr double recovered_share = 0.99;
+// Below this, an objective of 100% would divide by zero.
+constexpr double smallest_error_share = 1e-6;
+
+std::int64_t minute_of(wall_time now)
+{
+    return now.time_since_epoch().count() / ms_per_minute;
+}
+
+std::int64_t second_of(wall_time now)
+{
+    return now.time_since_epoch().count() / ms_per_second;
+}
+
+request_end judge_refusal(std::optional<refusal> reason)
+{
+    if (!reason)
+        return request_end::unavailable;
+    switch (*reason)
+    {
+    case refusal::shed:
+    case refusal::queue_timeout:
+    case refusal::upstream_refused:
+        return request_end::shed;
+    case refusal::deadline:
+        return request_end::deadline;
+    case refusal::retries_exhausted:
+        return request_end::retries_exhausted;
+    case refusal::quarantined:
+        return request_end::quarantined;
+    case refusal::cancelled:
+    case refusal::key_refused:
+        return request_end::not_judged;
+    case refusal::draining:
+    case refusal::no_upstream:
+    case refusal::home_unreachable:
+    case refusal::stopping:
+    case refusal::home_gone:
+    case refusal::home_not_ready:
+        break;
+    }
+    return request_end::unavailable;
+}
+
+} // namespace
+
+std::string_view to_string(request_end value)
+{
+    return end_names.at(static_cast<std::size_t>(value));
+}
+
+std::string_view to_string(burn_window window)
+{
+    return window_names.at(static_cast<std::size_t>(window));
+}
+
+int minutes_of(burn_window window)
+{
+    return window_minutes.at(static_cast<std::size_t>(window));
+}
+
+request_end judge_end(outcome what, std::optional<refusal> reason, bool in_time)
+{
+    switch (what)
+    {
+    case outcome::completed:
+        return in_time ? request_end::in_time : request_end::late;
+    case outcome::not_run:
+        return judge_refusal(reason);
+    case outcome::unknown:
+        break;
+    }
+    return request_end::unknown;
+}
+
+end_counts& end_counts::operator+=(end_counts const& other)
+{
+    for (std::size_t i = 0; i < by_end.size(); ++i)
+        by_end[i] += other.by_end[i];
+    return *this;
+}
+
+std::int64_t end_counts::judged() const
+{
+    std::int64_t sum = 0;
+    for (auto const count : by_end)
+        sum += count;
+    return sum - count(request_end::not_judged);
+}
+
+std::int64_t end_counts::bad() const
+{
+    return judged() - count(request_end::in_time);
+}
+
+void burn_history::note(burn_key const& key, importance level, request_end end,
+                        wall_time now)
+{
+    auto found = rows_.find(key);
+    if (found == rows_.end())
+    {
+        if (rows_.size() >= options_.max_rows)
+        {
+            ++left_out_;
+            return;
+        }
+        found = rows_.emplace(key, row{}).first;
+    }
+    auto& item = found->second;
+    item.level = level;
+    auto& minutes = item.minutes;
+    // A wall clock that steps back adds to the newest slot.
+    if (minutes.empty() || minutes.back().minute < minute_of(now))
+        minutes.push_back({.minute = minute_of(now), .by_end = {}});
+    ++minutes.back().by_end[static_cast<std::size_t>(end)];
+    auto const oldest = minute_of(now) - minutes_of(burn_window::hours_6);
+    while (minutes.front().minute <= oldest)
+        minutes.pop_front();
+    if (key.place == burn_place::entry)
+        note_second(key.member, end, now);
+}
+
+void burn_history::note_second(member_name const& member, request_end end,
+                               wall_time now)
+{
+    if (end == request_end::not_judged)
+        return;
+    auto& list = seconds_[member];
+    if (list.empty() || list.back().second < second_of(now))
+        list.push_back({.second = second_of(now)});
+    auto& last = list.back();
+    ++last.ended;
+    last.in_time += end == request_end::in_time ? 1 : 0;
+    last.shed += end == request_end::shed ? 1 : 0;
+    auto const oldest = second_of(now) - options_.kept_seconds.count();
+    while (list.front().second <= oldest)
+        list.pop_front();
+}
+
+std::map<burn_key, window_counts>
+burn_history::windows(member_name const& member, wall_time now) const
+{
+    std::map<burn_key, window_counts> result;
+    for (auto const& [key, item] : rows_)
+    {
+        if (key.member != member)
+            continue;
+        auto& counts = result[key];
+        for (auto const& slot : item.minutes)
+        {
+            auto const age = minute_of(now) - slot.minute;
+            for (auto const window : all_burn_windows)
+            {
+                if (age >= minutes_of(window))
+                    continue;
+                auto& sum = counts[static_cast<std::size_t>(window)];
+                for (std::size_t i = 0; i < request_end_count; ++i)
+                    sum.by_end[i] += slot.by_end[i];
+            }
+        }
+    }
+    return result;
+}
+
+std::vector<load_second> burn_history::seconds_of(member_name const& member,
+                                                  wall_time now) const
+{
+    std::vector<load_second> result;
+    auto const found = seconds_.find(member);
+    if (found == seconds_.end())
+        return result;
+    auto const oldest = second_of(now) - options_.kept_seconds.count();
+    for (auto const& item : found->second)
+    {
+        if (item.second > oldest)
+            result.push_back(item);
+    }
+    return result;
+}
+
+std::map<std::int64_t, importance>
+burn_history::lowest_shed_by_minute(std::int64_t from_minute) const
+{
+    std::map<std::int64_t, importance> lowest;
+    for (auto const& [key, item] : rows_)
+    {
+        if (key.place != burn_place::entry)
+            continue;
+        for (auto const& slot : item.minutes)
+        {
+            auto const shed =
+                slot.by_end[static_cast<std::size_t>(request_end::shed)];
+            if (shed == 0 || slot.minute < from_minute)
+                continue;
+            auto const position = lowest.try_emplace(slot.minute, item.level);
+            position.first->second =
+                std::min(position.first->second, item.level);
+        }
+    }
+    return lowest;
+}
+
+std::int64_t burn_history::kept_while_shedding(member_name const& member,
+                                               wall_time now) const
+{
+    auto const from = minute_of(now) - minutes_of(burn_window::hours_6) + 1;
+    auto const lowest = lowest_shed_by_minute(from);
+    std::int64_t kept = 0;
+    for (auto const& [key, item] : rows_)
+    {
+        if (key.member != member || key.place != burn_place::entry ||
+            item.level < importance::high)
+            continue;
+        for (auto const& slot : item.minutes)
+        {
+            auto const shed = lowest.find(slot.minute);
+            if (shed != lowest.end() && shed->second < item.level)
+                kept +=
+                    slot.by_end[static_cast<std::size_t>(request_end::in_time)];
+        }
+    }
+    return kept;
+}
+
+burn_summary& burn_summary::operator+=(burn_summary const& other)
+{
+    for (auto const& [key, windows] : other.rows)
+    {
+        auto& sums = rows[key];
+        for (std::size_t i = 0; i < sums.size(); ++i)
+            sums[i] += windows[i];
+    }
+    std::map<std::int64_t, load_second> merged;
+    auto const add = [&](load_second const& item)
+    {
+        auto& sum = merged[item.second];
+        sum.second = item.second;
+        sum.ended += item.ended;
+        sum.in_time += item.in_time;
+        sum.shed += item.shed;
+    };
+    std::for_each(seconds.begin(), seconds.end(), add);
+    std::for_each(other.seconds.begin(), other.seconds.end(), add);
+    seconds.clear();
+    seconds.reserve(merged.size());
+    for (auto const& [second, item] : merged)
+        seconds.push_back(item);
+    kept_while_shedding += other.kept_while_shedding;
+    left_out += other.left_out;
+    return *this;
+}
+
+namespace
+{
+
+// Seconds from `end` until the requests of five seconds running ended well.
+std::optional<std::int64_t>
+find_recovery(std::vector<load_second> const& seconds, std::int64_t end)
+{
+    auto const last = seconds.back().second;
+    for (auto from = end + 1; from + settled_seconds - 1 <= last; ++from)
+    {
+        std::int64_t ended = 0;
+        std::int64_t in_time = 0;
+        for (auto const& item : seconds)
+        {
+            if (item.second < from || item.second >= from + settled_seconds)
+                continue;
+            ended += item.ended;
+            in_time += item.in_time;
+        }
+        if (static_cast<double>(in_time) >=
+            recovered_share * static_cast<double>(ended))
+            return from - end - 1;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+std::vector<overload_episode>
+find_episodes(std::vector<load_second> const& seconds)
+{
+    std::vector<overload_episode> episodes;
+    for (auto const& item : seconds)
+    {
+        if (item.shed == 0)
+            continue;
+        bool const goes_on =
+            !episodes.empty() &&
+            item.second <= episodes.back().end_second + settled_seconds;
+        if (goes_on)
+            episodes.back().end_second = item.second;
+        else
+            episodes.push_back({.start_second = item.second,
+                                .end_second = item.second,
+                                .recovery_s = std::nullopt});
+    }
+    for (auto& episode : episodes)
+        episode.recovery_s = find_recovery(seconds, episode.end_second);
+    return episodes;
+}
+
+double burn_rate(end_counts const& counts, double objective)
+{
+    if (counts.judged() == 0)
+        return 0;
+    auto const allowed = std::max(1 - objective, smallest_error_share);
+    return static_cast<double>(counts.bad()) /
+           static_cast<double>(counts.judged()) / allowed;
+}
+
+double budget_left(end_counts const& counts, double objective)
+{
+    return 1 - burn_rate(counts, objective);
+}
+
+} // namespace pollenhall
--- a/src/libpollenhall_io/wire_codec.cpp
+++ b/src/libpollenhall_io/wire_codec.cpp
@@ -415,6 +415,9 @@
         row.shed = item.shed;
         row.upstream_runs = item.upstream_runs;
         row.runs_for_others = item.runs_for_others;
+        row.__set_lent_ms(item.lent_ms);
+        row.__set_runs_borrowed(item.runs_borrowed);
+        row.__set_borrowed_ms(item.borrowed_ms);
         rows.push_back(std::move(row));
     }
     return rows;
@@ -436,11 +439,71 @@
                             .retries = row.retries,
                             .shed = row.shed,
                             .upstream_runs = row.upstream_runs,
-                            .runs_for_others = row.runs_for_others};
+                            .runs_for_others = row.runs_for_others,
+                            .lent_ms = row.lent_ms,
+                            .runs_borrowed = row.runs_borrowed,
+                            .borrowed_ms = row.borrowed_ms};
     }
     return counts;
 }
 
+wire::burn_part to_wire(burn_history const& history, member_name const& member,
+                        wall_time now)
+{
+    wire::burn_part part;
+    for (auto const& [key, windows] : history.windows(member, now))
+    {
+        wire::burn_row row;
+        row.service_name = key.kind.service.value();
+        row.kind = key.kind.kind.value();
+        row.at_upstream = key.place == burn_place::upstream;
+        for (auto const& counts : windows)
+            row.windows.emplace_back(counts.by_end.begin(),
+                                     counts.by_end.end());
+        part.rows.push_back(std::move(row));
+    }
+    for (auto const& item : history.seconds_of(member, now))
+    {
+        wire::load_second_record record;
+        record.second = item.second;
+        record.ended = item.ended;
+        record.in_time = item.in_time;
+        record.shed = item.shed;
+        part.seconds.push_back(record);
+    }
+    part.kept_while_shedding = history.kept_while_shedding(member, now);
+    part.left_out = history.left_out();
+    return part;
+}
+
+burn_summary from_wire(wire::burn_part const& part, member_name const& member)
+{
+    burn_summary summary;
+    for (auto const& row : part.rows)
+    {
+        burn_key const key{.member = member,
+                           .kind = {.service = service_name(row.service_name),
+                                    .kind = kind_name(row.kind)},
+                           .place = row.at_upstream ? burn_place::upstream
+                                                    : burn_place::entry};
+        auto& windows = summary.rows[key];
+        // A peer of another version may know other ways to end.
+        for (std::size_t i = 0;
+             i < std::min(windows.size(), row.windows.size()); ++i)
+            std::copy_n(row.windows[i].begin(),
+                        std::min(request_end_count, row.windows[i].size()),
+                        windows[i].by_end.begin());
+    }
+    for (auto const& item : part.seconds)
+        summary.seconds.push_back({.second = item.second,
+                                   .ended = item.ended,
+                                   .in_time = item.in_time,
+                                   .shed = item.shed});
+    summary.kept_while_shedding = part.kept_while_shedding;
+    summary.left_out = part.left_out;
+    return summary;
+}
+
 wire::space_digest to_wire(space_digest const& digest)
 {
     wire::space_digest result;
--- a/src/pollenctl/commands.cpp
+++ b/src/pollenctl/commands.cpp
@@ -2,6 +2,7 @@
 
 #include "commands.hpp"
 
+#include "burn_output.hpp"
 #include "declaration_folder.hpp"
 #include "operator_connection.hpp"
 
@@ -365,7 +366,10 @@
             {"retries", line.retries},
             {"shed", line.shed},
             {"upstream_runs", line.upstream_runs},
-            {"runs_for_others", line.runs_for_others}};
+            {"runs_for_others", line.runs_for_others},
+            {"lent_ms", line.lent_ms},
+            {"runs_borrowed", line.runs_borrowed},
+            {"borrowed_ms", line.borrowed_ms}};
 }
 
 void print_report_text(rpc::report_reply const& reply)
@@ -377,6 +381,7 @@
               << std::setw(7) << "LATE" << std::setw(9) << "NOT RUN"
               << std::setw(9) << "UNKNOWN" << std::setw(9) << "RETRIES"
               << std::setw(7) << "SHED" << std::setw(9) << "RUNS"
+              << std::setw(9) << "LENT" << std::setw(9) << "BORROWED"
               << "\n";
     for (auto const& line : reply.lines)
         std::cout << std::left << std::setw(26)
@@ -386,7 +391,22 @@
                   << line.completed_late << std::setw(9) << line.not_run
                   << std::setw(9) << line.unknown << std::setw(9)
                   << line.retries << std::setw(7) << line.shed << std::setw(9)
-                  << line.upstream_runs << "\n";
+                  << line.upstream_runs << std::setw(9) << line.runs_for_others
+                  << std::setw(9) << line.runs_borrowed << "\n";
+}
+
+int report_burn(command_arguments const& arguments)
+{
+    operator_connection node(arguments.node);
+    rpc::burn_reply reply;
+    node->burn(reply, arguments.member);
+    if (arguments.format == "json")
+        write_burn_json(std::cout, reply);
+    else if (arguments.format == "html")
+        write_burn_html(std::cout, reply);
+    else
+        write_burn_text(std::cout, reply);
+    return exit_code::done;
 }
 
 int run_report(command_arguments const& arguments)
@@ -396,6 +416,14 @@
         std::cerr << "pollenctl: report needs --member\n";
         return exit_code::usage;
     }
+    if (arguments.positional == "burn")
+        return report_burn(arguments);
+    if (!arguments.positional.empty() || arguments.format == "html")
+    {
+        std::cerr << "pollenctl: report is 'report' as text or json, or "
+                     "'report burn' as text, json or html\n";
+        return exit_code::usage;
+    }
     operator_connection node(arguments.node);
     rpc::report_reply reply;
     node->report(reply, arguments.member);
@@ -461,7 +489,8 @@
             &with_messages<run_status>},
     command{"drain", "drain [--undo]", "Drains the upstream beside the node.",
             &with_messages<run_drain>},
-    command{"report", "report --member NAME", "Shows the member's board.",
+    command{"report", "report [burn] --member NAME",
+            "Shows the member's board, or how fast its error budgets burn.",
             &with_messages<run_report>},
 };
 
--- a/src/pollenctl/main.cpp
+++ b/src/pollenctl/main.cpp
@@ -34,7 +34,7 @@
     add("node,n", po::value(&arguments.node)->default_value("127.0.0.1:7003"),
         "operator port of any node, IP:PORT");
     add("format,f", po::value(&arguments.format)->default_value("text"),
-        "text or json");
+        "text or json; html for report burn");
     add("base", po::value(&arguments.base)->default_value(-1),
         "apply: generation that the change is based on; -1 for the newest");
     add("apply-id", po::value(&arguments.apply_id),
@@ -90,10 +90,13 @@
         return exit_code::done;
     }
     po::notify(seen);
-    if (arguments.format != "text" && arguments.format != "json")
+    bool const is_known = arguments.format == "text" ||
+                          arguments.format == "json" ||
+                          (arguments.format == "html" && name == "report");
+    if (!is_known)
     {
         std::cerr << "pollenctl: --format is '" << arguments.format
-                  << "'; allowed are text and json\n";
+                  << "'; allowed are text and json, and html for report burn\n";
         return exit_code::usage;
     }
     return command->run(arguments);
--- a/src/pollenhalld/call_entry.cpp
+++ b/src/pollenhalld/call_entry.cpp
@@ -128,7 +128,7 @@
     open.handler = std::move(handler);
     open.kind = request.kind;
     open.owner = service.owner;
-    open.has_key = !kind.repeatable;
+    open.level = kind.level;
 
     forwarded_call call;
     call.kind = request.kind;
@@ -253,8 +253,12 @@
 {
     auto& row = core_.counts.row({.member = open.owner, .kind = open.kind});
     row.retries += retries;
-    if (!open.parent)
-        count_end(row, result.what, result.reason, mono_now() <= open.deadline);
+    if (open.parent)
+        return;
+    bool const in_time = mono_now() <= open.deadline;
+    count_end(row, result.what, result.reason, in_time);
+    core_.ends.note({.member = open.owner, .kind = open.kind}, open.level,
+                    judge_end(result.what, result.reason, in_time), wall_now());
 }
 
 void call_entry::cancel(std::uint64_t number)
--- a/src/pollenhalld/call_entry.hpp
+++ b/src/pollenhalld/call_entry.hpp
@@ -85,7 +85,7 @@
         // Set for a call made by the upstream beside this node.
         std::optional<hop_id> parent;
         retry_count lent{0};
-        bool has_key = false;
+        importance level = importance::normal;
     };
     struct service_state
     {
--- a/src/pollenhalld/control_plane.cpp
+++ b/src/pollenhalld/control_plane.cpp
@@ -196,7 +196,7 @@
                            state_code(frame.notice.state), frame.notice.version,
                            mono_now());
                    else if (set.board_request)
-                       answer_board(link, frame.board_request.request_id);
+                       answer_board(link, frame.board_request);
                    else if (set.board)
                        on_board(frame.board);
                });
@@ -414,7 +414,8 @@
         });
 }
 
-platform_answers control_plane::ask_all_nodes(milliseconds patience)
+platform_answers control_plane::ask_all_nodes(milliseconds patience,
+                                              std::optional<member_name> member)
 {
     std::promise<platform_answers> promise;
     auto future = promise.get_future();
@@ -432,6 +433,8 @@
                    wire::frame frame;
                    frame.__set_board_request({});
                    frame.board_request.request_id = id;
+                   if (member)
+                       frame.board_request.__set_burn_member(member->value());
                    for (auto const& node : endpoints)
                    {
                        if (!is_gone(node.life))
@@ -441,15 +444,22 @@
     return future.get();
 }
 
-void control_plane::answer_board(link_id link, std::int64_t request)
+void control_plane::answer_board(link_id link, wire::board_pull const& request)
 {
+    std::optional<member_name> member;
+    if (request.__isset.burn_member)
+        member = member_name(request.burn_member);
     traffic_->snapshot(
-        [this, link, request](traffic_snapshot const& snapshot)
+        std::move(member),
+        [this, link, id = request.request_id](traffic_snapshot const& snapshot)
         {
             auto const view = view_.get();
             wire::frame frame;
             frame.__set_board({});
-            frame.board.request_id = request;
+            frame.board.request_id = id;
+            frame.board.__set_zone(settings_.zone.value());
+            if (snapshot.burn)
+                frame.board.__set_burn(*snapshot.burn);
             frame.board.node = settings_.name.value();
             frame.board.boot = view->self.boot.value();
             frame.board.rows = to_wire(snapshot.counts);
@@ -463,6 +473,9 @@
 {
     node_answer answer;
     answer.node = node_id(push.node);
+    answer.boot = boot_id(push.boot);
+    answer.zone = zone_name(push.zone);
+    answer.burn = from_wire(push.burn, member_name());
     answer.counts = from_wire(push.rows);
     for (auto const& digest : push.in_force)
         answer.in_force.push_back(from_wire(digest));
--- a/src/pollenhalld/control_plane.hpp
+++ b/src/pollenhalld/control_plane.hpp
@@ -117,8 +117,10 @@
     apply_report settle(member_name const& member, std::string const& apply_id);
     /// A space as it is in force here. Blocks.
     space_update in_force(std::string space);
-    /// Asks all nodes; blocks until they answered or `patience` is over.
-    platform_answers ask_all_nodes(milliseconds patience);
+    /// Asks all nodes, for the ends of `member` too if one is given; blocks
+    /// until they answered or `patience` is over.
+    platform_answers ask_all_nodes(milliseconds patience,
+                                   std::optional<member_name> member = {});
     /// Blocks.
     control_snapshot snapshot();
 
@@ -161,7 +163,7 @@
     [[nodiscard]] bool has_store_role() const;
     [[nodiscard]] std::size_t count_accepting() const;
     void propose_roster(mono_time now);
-    void answer_board(link_id link, std::int64_t request);
+    void answer_board(link_id link, wire::board_pull const& request);
     void on_board(wire::board_push const& push);
 
     node_settings const& settings_;
--- a/src/pollenhalld/local_runner.cpp
+++ b/src/pollenhalld/local_runner.cpp
@@ -158,6 +158,7 @@
     hop.deadline = item.call.deadline;
     hop.budget = retry_budget(item.call.lent);
     item.hop = core_.hops.add(std::move(hop));
+    item.started = mono_now();
     item.exchange = std::make_shared<exchange_handle>();
     auto task = [this, number, client = client_, call = item.call,
                  endpoint = upstream_.endpoint, headers = extra_headers(item),
@@ -191,7 +192,8 @@
     bool const measured = ended.result.what == outcome::completed;
     queue_->on_finished(number, now, measured);
     note_end(item, ended, now);
-    count_run(item, ended);
+    count_run(item, ended, now);
+    note_place(item.call, ended.result, now);
     ended.result.returned = end_hop(item);
     ended.result.load = load();
     item.handler(std::move(ended.result));
@@ -237,7 +239,7 @@
 }
 
 void local_runner::count_run(local_call const& ended,
-                             exchange_result const& result)
+                             exchange_result const& result, mono_time now)
 {
     if (result.result.what == outcome::not_run)
         return;
@@ -249,8 +251,32 @@
     auto& row =
         core_.counts.row({.member = service->owner, .kind = ended.call.kind});
     ++row.upstream_runs;
-    if (ended.call.member != service->owner)
-        ++row.runs_for_others;
+    auto const& caller = ended.call.member;
+    if (caller == service->owner)
+        return;
+    auto const time =
+        std::chrono::duration_cast<milliseconds>(now - ended.started).count();
+    ++row.runs_for_others;
+    row.lent_ms += time;
+    auto& borrower =
+        core_.counts.row({.member = caller, .kind = ended.call.kind});
+    ++borrower.runs_borrowed;
+    borrower.borrowed_ms += time;
+}
+
+void local_runner::note_place(forwarded_call const& call,
+                              call_result const& result, mono_time now)
+{
+    auto const view = core_.view.get();
+    auto const* const service = view->declarations->find(call.kind.service);
+    if (service == nullptr)
+        return;
+    core_.ends.note({.member = service->owner,
+                     .kind = call.kind,
+                     .place = burn_place::upstream},
+                    call.level,
+                    judge_end(result.what, result.reason, now <= call.deadline),
+                    wall_now());
 }
 
 void local_runner::finish_refused(call_number number, refusal reason)
@@ -259,6 +285,7 @@
     if (node.empty())
         return;
     auto result = make_refusal(reason);
+    note_place(node.mapped().call, result, mono_now());
     result.returned = node.mapped().call.lent;
     result.load = load();
     node.mapped().handler(std::move(result));
--- a/src/pollenhalld/local_runner.hpp
+++ b/src/pollenhalld/local_runner.hpp
@@ -65,6 +65,7 @@
         call_handler handler;
         // Set while it runs.
         std::optional<hop_id> hop;
+        mono_time started{};
         std::shared_ptr<exchange_handle> exchange;
     };
 
@@ -76,7 +77,10 @@
     void note_end(local_call const& ended, exchange_result const& result,
                   mono_time now);
     void note_crash(local_call const& ended);
-    void count_run(local_call const& ended, exchange_result const& result);
+    void count_run(local_call const& ended, exchange_result const& result,
+                   mono_time now);
+    void note_place(forwarded_call const& call, call_result const& result,
+                    mono_time now);
     retry_count end_hop(local_call const& ended);
     void schedule_check();
     [[nodiscard]] std::vector<http_header>
--- a/src/pollenhalld/metrics.cpp
+++ b/src/pollenhalld/metrics.cpp
@@ -134,7 +134,7 @@
 {
     std::promise<traffic_snapshot> promise;
     auto future = promise.get_future();
-    traffic.snapshot([&promise](traffic_snapshot snapshot)
+    traffic.snapshot({}, [&promise](traffic_snapshot snapshot)
                      { promise.set_value(std::move(snapshot)); });
     metrics_page page;
     add_traffic(page, future.get());
--- a/src/pollenhalld/node_queries.hpp
+++ b/src/pollenhalld/node_queries.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <pollenhall/board.hpp>
+#include <pollenhall/burn_history.hpp>
 #include <pollenhall/membership.hpp>
 
 #include <asio/io_context.hpp>
@@ -22,7 +23,11 @@
 struct node_answer
 {
     node_id node;
+    boot_id boot;
+    zone_name zone;
     board counts;
+    /// Empty if no member was asked for.
+    burn_summary burn;
     std::vector<space_digest> in_force;
 };
 
--- a/src/pollenhalld/operator_server.cpp
+++ b/src/pollenhalld/operator_server.cpp
@@ -2,6 +2,8 @@
 
 #include "operator_server.hpp"
 
+#include "burn_report.hpp"
+
 #include <pollenhall/io/log_event.hpp>
 #include <pollenhall/version.hpp>
 
@@ -155,6 +157,9 @@
     line.shed = counts.shed;
     line.upstream_runs = counts.upstream_runs;
     line.runs_for_others = counts.runs_for_others;
+    line.lent_ms = counts.lent_ms;
+    line.runs_borrowed = counts.runs_borrowed;
+    line.borrowed_ms = counts.borrowed_ms;
     return line;
 }
 
@@ -250,23 +255,14 @@
 
     void report(rpc::report_reply& reply, std::string const& member) override
     {
-        auto const view = view_.get();
-        auto const& members = view->declarations->members();
-        bool const known = std::any_of(members.begin(), members.end(),
-                                       [&](auto const& item)
-                                       { return item.name.value() == member; });
-        if (!known)
-            throw_error("member '" + member + "' has no declarations");
+        require_member(member);
         auto const all = control_.ask_all_nodes(query_patience);
         board sum;
         for (auto const& answer : all.answers)
             sum.add(answer.counts);
         reply.member = member;
         reply.nodes_heard = static_cast<int>(all.answers.size());
-        reply.nodes_known = static_cast<int>(
-            std::count_if(all.nodes.begin(), all.nodes.end(),
-                          [](peer_info const& peer)
-                          { return peer.life != peer_life::left; }));
+        reply.nodes_known = count_known(all);
         for (auto const& [key, counts] : sum.rows())
         {
             if (key.member.value() == member)
@@ -274,7 +270,28 @@
         }
     }
 
+    void burn(rpc::burn_reply& reply, std::string const& member) override
+    {
+        require_member(member);
+        auto const answers =
+            control_.ask_all_nodes(query_patience, member_name(member));
+        reply = make_burn_reply(member_name(member), *view_.get()->declarations,
+                                answers, wall_now());
+    }
+
 private:
+    // Refuses a member that is not declared.
+    void require_member(std::string const& member) const
+    {
+        auto const view = view_.get();
+        auto const& members = view->declarations->members();
+        bool const known = std::any_of(members.begin(), members.end(),
+                                       [&](auto const& item)
+                                       { return item.name.value() == member; });
+        if (!known)
+            throw_error("member '" + member + "' has no declarations");
+    }
+
     rpc::node_status describe_node(peer_info const& peer,
                                    platform_answers const& all) const
     {
--- a/src/pollenhalld/traffic_core.hpp
+++ b/src/pollenhalld/traffic_core.hpp
@@ -6,6 +6,7 @@
 #include "node_view.hpp"
 
 #include <pollenhall/board.hpp>
+#include <pollenhall/burn_history.hpp>
 #include <pollenhall/crash_guard.hpp>
 #include <pollenhall/hop_registry.hpp>
 #include <pollenhall/io/clocks.hpp>
@@ -40,6 +41,7 @@
     hop_registry hops;
     crash_guard guard;
     board counts;
+    burn_history ends;
     std::mt19937_64 random;
     /// Set once before the thread starts.
     std::unique_ptr<peer_links> links;
--- a/src/pollenhalld/traffic_plane.cpp
+++ b/src/pollenhalld/traffic_plane.cpp
@@ -155,12 +155,17 @@
                { core_.links->reply_to_all(frame); });
 }
 
-void traffic_plane::snapshot(std::function<void(traffic_snapshot)> handler)
+void traffic_plane::snapshot(std::optional<member_name> member,
+                             std::function<void(traffic_snapshot)> handler)
 {
     asio::post(context_,
-               [this, handler = std::move(handler)]
+               [this, member = std::move(member), handler = std::move(handler)]
                {
+                   std::optional<wire::burn_part> burn;
+                   if (member)
+                       burn = to_wire(core_.ends, *member, wall_now());
                    handler({.counts = core_.counts,
+                            .burn = std::move(burn),
                             .load = entry_->runner().load(),
                             .links = core_.links->counters()});
                });
--- a/src/pollenhalld/traffic_plane.hpp
+++ b/src/pollenhalld/traffic_plane.hpp
@@ -36,6 +36,8 @@
 struct traffic_snapshot
 {
     board counts;
+    /// Set if a member was asked for.
+    std::optional<wire::burn_part> burn;
     load_hint load;
     link_counters links;
 };
@@ -75,7 +77,9 @@
     void reply_to_all(wire::frame frame);
 
     /// Copies the counts; `handler` runs on the traffic thread.
-    void snapshot(std::function<void(traffic_snapshot)> handler);
+    /// With the ends of `member`, if one is given.
+    void snapshot(std::optional<member_name> member,
+                  std::function<void(traffic_snapshot)> handler);
     /// Whether calls are in progress or answers still to be written.
     [[nodiscard]] bool is_idle() const { return idle_; }
 
