--- a/idl/operator.thrift
+++ b/idl/operator.thrift
@@ -215,17 +215,54 @@
   11: required i64 left_out
 }
 
+/** A decision on a recent request; see `explain`. */
+struct decision {
+  /** Milliseconds since the Unix epoch, by the clock of the node. */
+  1: required i64 at_ms,
+  2: required string node,
+  3: required string zone,
+  4: required string service_name,
+  5: required string kind,
+  /** Where it was taken: `entry`, `try`, `home` or `upstream`. */
+  6: required string point,
+  /** Outcome in its place: `completed`, `not_run` or `unknown`. */
+  7: required string outcome,
+  /** Reason of a refusal; empty without one. */
+  8: required string reason,
+  /** Node that a try was sent to; empty elsewhere. */
+  9: required string peer
+}
+
+struct explain_reply {
+  /** In order of time. */
+  1: required list<decision> decisions,
+  2: required i32 nodes_heard,
+  3: required i32 nodes_known
+}
+
 /** The call was refused; `message` says why. */
 exception operator_error {
   1: required string message
 }
 
+/**
+ * The first call on a connection is `log_in`; all others are refused before.
+ * A refusal names the right that is missing.
+ */
 service operator_service {
+  /**
+   * Logs in as `platform` or `MEMBER/OPERATOR`. The key is compared with its
+   * stored hash. It crosses the network as it is; see docs/threat-model.md.
+   */
+  void log_in(1: string name, 2: string key) throws (1: operator_error error),
+
   /** Checks a folder of declarations; changes nothing. */
-  check_reply check(1: list<document> documents),
+  check_reply check(1: list<document> documents)
+      throws (1: operator_error error),
 
   /** Compares a folder with what is in force; changes nothing. */
-  diff_reply diff(1: list<document> documents),
+  diff_reply diff(1: list<document> documents)
+      throws (1: operator_error error),
 
   /** Puts a folder of declarations in force everywhere. */
   apply_reply apply(1: apply_request request) throws (1: operator_error error),
@@ -235,7 +272,7 @@
       throws (1: operator_error error),
 
   /** What the node knows of its peers, and what each has in force. */
-  status_reply status(),
+  status_reply status() throws (1: operator_error error),
 
   /** Drains the upstream beside this node: no new work is accepted. */
   void drain() throws (1: operator_error error),
@@ -247,5 +284,11 @@
   report_reply report(1: string member) throws (1: operator_error error),
 
   /** How fast the member's error budgets burn, and why. */
-  burn_reply burn(1: string member) throws (1: operator_error error)
+  burn_reply burn(1: string member) throws (1: operator_error error),
+
+  /**
+   * The decisions on a request of the last minutes, by its trace id (32
+   * hexadecimal digits), as far as nodes still remember them.
+   */
+  explain_reply explain(1: string trace_id) throws (1: operator_error error)
 }
--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -236,10 +236,30 @@
   4: required i64 left_out
 }
 
+/** A decision on a recent request. */
+struct decision_line {
+  /** Milliseconds since the Unix epoch, by the clock of the node. */
+  1: required i64 at_ms,
+  /** Member that owns the request at its entry. */
+  2: required string member,
+  3: required string service_name,
+  4: required string kind,
+  /** Where it was taken: `entry`, `try`, `home` or `upstream`. */
+  5: required string point,
+  /** Outcome in its place: `completed`, `not_run` or `unknown`. */
+  6: required string outcome,
+  /** Reason of a refusal; empty without one. */
+  7: required string reason,
+  /** Node that a try was sent to; empty elsewhere. */
+  8: required string peer
+}
+
 struct board_pull {
   1: required i64 request_id,
   /** Member whose ends are wanted too; absent for none. */
-  2: optional string burn_member
+  2: optional string burn_member,
+  /** Trace id whose decisions are wanted too; absent for none. */
+  3: optional string trace_id
 }
 
 struct board_push {
@@ -250,7 +270,9 @@
   5: required list<space_digest> in_force,
   /** Present if `burn_member` was asked for. */
   6: optional burn_part burn,
-  7: optional string zone
+  7: optional string zone,
+  /** Decisions on the trace that was asked for, oldest first. */
+  8: optional list<decision_line> decisions
 }
 
 /** Asks a roster member to stop taking keys issued at or after `start_ms`. */
--- a/src/benchmarks/control_benchmark.cpp
+++ b/src/benchmarks/control_benchmark.cpp
@@ -1,6 +1,7 @@
 // Drives the structures of control at the size to design for: 3,200 peers,
 // 530 services, a day's 11,000 changes. Prints costs as JSON.
 
+#include <pollenhall/burn_history.hpp>
 #include <pollenhall/document_book.hpp>
 #include <pollenhall/home_roster.hpp>
 #include <pollenhall/io/clocks.hpp>
@@ -150,12 +151,65 @@
             {"book_hash_us", hash_us}};
 }
 
+// A node that is entry of as many kinds as its history holds, each busy in
+// every minute of the longest window, and the sum over all nodes.
+json measure_history()
+{
+    constexpr int kind_count = 256;
+    constexpr int minutes = 360;
+    constexpr int summed_rows = 20;
+    auto const key_of = [](int kind)
+    {
+        return burn_key{.member = member_name(
+                            "member-" + std::to_string(kind / summed_rows)),
+                        .kind = {service_name("service"),
+                                 kind_name("kind-" + std::to_string(kind))}};
+    };
+    auto const time_of = [](int minute)
+    { return wall_time(std::chrono::minutes(20'000'000 + minute)); };
+    auto const before = megabytes_in_use();
+    burn_history history;
+    std::vector<burn_key> keys;
+    keys.reserve(kind_count);
+    for (int kind = 0; kind < kind_count; ++kind)
+        keys.push_back(key_of(kind));
+    auto const note_us =
+        mean_us(minutes * kind_count,
+                [&](int i)
+                {
+                    history.note(keys[static_cast<std::size_t>(i % kind_count)],
+                                 importance::high, request_end::in_time,
+                                 time_of(i / kind_count));
+                });
+    auto const megabytes = megabytes_in_use() - before;
+    auto const now = time_of(minutes - 1);
+    auto const member = member_name("member-0");
+    auto const part = to_wire(history, member, now);
+    auto const answer_us =
+        mean_us(measured_messages,
+                [&](int) { static_cast<void>(to_wire(history, member, now)); });
+    burn_summary sum;
+    auto const merge_us =
+        mean_us(peer_count, [&](int) { sum += from_wire(part, member); });
+    wire::frame frame;
+    frame.__set_board({});
+    frame.board.__set_burn(part);
+    return {{"kinds", kind_count},
+            {"megabytes", megabytes},
+            {"note_us", note_us},
+            {"rows_of_member", part.rows.size()},
+            {"answer_bytes", encode_frame(frame).size()},
+            {"answer_us", answer_us},
+            {"merge_all_peers_ms", merge_us * peer_count / 1'000}};
+}
+
 } // namespace
 
 int main()
 {
     json const report{{"membership", measure_membership()},
-                      {"documents", measure_documents()}};
+                      {"documents", measure_documents()},
+                      {"history", measure_history()}};
     std::cout << report.dump(2) << "\n";
     return 0;
 }
--- a/src/gen/operator_service.cpp
+++ b/src/gen/operator_service.cpp
@@ -9,6 +9,209 @@
 namespace pollenhall { namespace rpc {
 
 
+operator_service_log_in_args::~operator_service_log_in_args() noexcept {
+}
+
+
+uint32_t operator_service_log_in_args::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          this->__isset.key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t operator_service_log_in_args::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("operator_service_log_in_args");
+
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+operator_service_log_in_pargs::~operator_service_log_in_pargs() noexcept {
+}
+
+
+uint32_t operator_service_log_in_pargs::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("operator_service_log_in_pargs");
+
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString((*(this->name)));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString((*(this->key)));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+operator_service_log_in_result::~operator_service_log_in_result() noexcept {
+}
+
+
+uint32_t operator_service_log_in_result::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->error.read(iprot);
+          this->__isset.error = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t operator_service_log_in_result::write(::apache::thrift::protocol::TProtocol* oprot) const {
+
+  uint32_t xfer = 0;
+
+  xfer += oprot->writeStructBegin("operator_service_log_in_result");
+
+  if (this->__isset.error) {
+    xfer += oprot->writeFieldBegin("error", ::apache::thrift::protocol::T_STRUCT, 1);
+    xfer += this->error.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+operator_service_log_in_presult::~operator_service_log_in_presult() noexcept {
+}
+
+
+uint32_t operator_service_log_in_presult::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->error.read(iprot);
+          this->__isset.error = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+
 operator_service_check_args::~operator_service_check_args() noexcept {
 }
 
@@ -38,14 +241,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->documents.clear();
-            uint32_t _size184;
-            ::apache::thrift::protocol::TType _etype187;
-            xfer += iprot->readListBegin(_etype187, _size184);
-            this->documents.resize(_size184);
-            uint32_t _i188;
-            for (_i188 = 0; _i188 < _size184; ++_i188)
+            uint32_t _size198;
+            ::apache::thrift::protocol::TType _etype201;
+            xfer += iprot->readListBegin(_etype201, _size198);
+            this->documents.resize(_size198);
+            uint32_t _i202;
+            for (_i202 = 0; _i202 < _size198; ++_i202)
             {
-              xfer += this->documents[_i188].read(iprot);
+              xfer += this->documents[_i202].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -74,10 +277,10 @@
   xfer += oprot->writeFieldBegin("documents", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->documents.size()));
-    std::vector<document> ::const_iterator _iter189;
-    for (_iter189 = this->documents.begin(); _iter189 != this->documents.end(); ++_iter189)
+    std::vector<document> ::const_iterator _iter203;
+    for (_iter203 = this->documents.begin(); _iter203 != this->documents.end(); ++_iter203)
     {
-      xfer += (*_iter189).write(oprot);
+      xfer += (*_iter203).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -101,10 +304,10 @@
   xfer += oprot->writeFieldBegin("documents", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>((*(this->documents)).size()));
-    std::vector<document> ::const_iterator _iter190;
-    for (_iter190 = (*(this->documents)).begin(); _iter190 != (*(this->documents)).end(); ++_iter190)
+    std::vector<document> ::const_iterator _iter204;
+    for (_iter204 = (*(this->documents)).begin(); _iter204 != (*(this->documents)).end(); ++_iter204)
     {
-      xfer += (*_iter190).write(oprot);
+      xfer += (*_iter204).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -149,6 +352,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->error.read(iprot);
+          this->__isset.error = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -171,6 +382,10 @@
     xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_STRUCT, 0);
     xfer += this->success.write(oprot);
     xfer += oprot->writeFieldEnd();
+  } else if (this->__isset.error) {
+    xfer += oprot->writeFieldBegin("error", ::apache::thrift::protocol::T_STRUCT, 1);
+    xfer += this->error.write(oprot);
+    xfer += oprot->writeFieldEnd();
   }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
@@ -211,6 +426,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->error.read(iprot);
+          this->__isset.error = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -253,14 +476,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->documents.clear();
-            uint32_t _size191;
-            ::apache::thrift::protocol::TType _etype194;
-            xfer += iprot->readListBegin(_etype194, _size191);
-            this->documents.resize(_size191);
-            uint32_t _i195;
-            for (_i195 = 0; _i195 < _size191; ++_i195)
+            uint32_t _size205;
+            ::apache::thrift::protocol::TType _etype208;
+            xfer += iprot->readListBegin(_etype208, _size205);
+            this->documents.resize(_size205);
+            uint32_t _i209;
+            for (_i209 = 0; _i209 < _size205; ++_i209)
             {
-              xfer += this->documents[_i195].read(iprot);
+              xfer += this->documents[_i209].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -289,10 +512,10 @@
   xfer += oprot->writeFieldBegin("documents", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->documents.size()));
-    std::vector<document> ::const_iterator _iter196;
-    for (_iter196 = this->documents.begin(); _iter196 != this->documents.end(); ++_iter196)
+    std::vector<document> ::const_iterator _iter210;
+    for (_iter210 = this->documents.begin(); _iter210 != this->documents.end(); ++_iter210)
     {
-      xfer += (*_iter196).write(oprot);
+      xfer += (*_iter210).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -316,10 +539,10 @@
   xfer += oprot->writeFieldBegin("documents", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>((*(this->documents)).size()));
-    std::vector<document> ::const_iterator _iter197;
-    for (_iter197 = (*(this->documents)).begin(); _iter197 != (*(this->documents)).end(); ++_iter197)
+    std::vector<document> ::const_iterator _iter211;
+    for (_iter211 = (*(this->documents)).begin(); _iter211 != (*(this->documents)).end(); ++_iter211)
     {
-      xfer += (*_iter197).write(oprot);
+      xfer += (*_iter211).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -364,6 +587,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->error.read(iprot);
+          this->__isset.error = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -386,6 +617,10 @@
     xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_STRUCT, 0);
     xfer += this->success.write(oprot);
     xfer += oprot->writeFieldEnd();
+  } else if (this->__isset.error) {
+    xfer += oprot->writeFieldBegin("error", ::apache::thrift::protocol::T_STRUCT, 1);
+    xfer += this->error.write(oprot);
+    xfer += oprot->writeFieldEnd();
   }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
@@ -426,6 +661,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->error.read(iprot);
+          this->__isset.error = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -960,6 +1203,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->error.read(iprot);
+          this->__isset.error = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -982,6 +1233,10 @@
     xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_STRUCT, 0);
     xfer += this->success.write(oprot);
     xfer += oprot->writeFieldEnd();
+  } else if (this->__isset.error) {
+    xfer += oprot->writeFieldBegin("error", ::apache::thrift::protocol::T_STRUCT, 1);
+    xfer += this->error.write(oprot);
+    xfer += oprot->writeFieldEnd();
   }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
@@ -1022,6 +1277,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->error.read(iprot);
+          this->__isset.error = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1780,27 +2043,291 @@
   return xfer;
 }
 
-void operator_serviceClient::check(check_reply& _return, const std::vector<document> & documents)
-{
-  send_check(documents);
-  recv_check(_return);
-}
 
-void operator_serviceClient::send_check(const std::vector<document> & documents)
-{
-  int32_t cseqid = 0;
-  oprot_->writeMessageBegin("check", ::apache::thrift::protocol::T_CALL, cseqid);
+operator_service_explain_args::~operator_service_explain_args() noexcept {
+}
 
-  operator_service_check_pargs args;
-  args.documents = &documents;
-  args.write(oprot_);
 
-  oprot_->writeMessageEnd();
-  oprot_->getTransport()->writeEnd();
-  oprot_->getTransport()->flush();
-}
+uint32_t operator_service_explain_args::read(::apache::thrift::protocol::TProtocol* iprot) {
 
-void operator_serviceClient::recv_check(check_reply& _return)
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->trace_id);
+          this->__isset.trace_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t operator_service_explain_args::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("operator_service_explain_args");
+
+  xfer += oprot->writeFieldBegin("trace_id", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->trace_id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+operator_service_explain_pargs::~operator_service_explain_pargs() noexcept {
+}
+
+
+uint32_t operator_service_explain_pargs::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("operator_service_explain_pargs");
+
+  xfer += oprot->writeFieldBegin("trace_id", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString((*(this->trace_id)));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+operator_service_explain_result::~operator_service_explain_result() noexcept {
+}
+
+
+uint32_t operator_service_explain_result::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->success.read(iprot);
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->error.read(iprot);
+          this->__isset.error = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t operator_service_explain_result::write(::apache::thrift::protocol::TProtocol* oprot) const {
+
+  uint32_t xfer = 0;
+
+  xfer += oprot->writeStructBegin("operator_service_explain_result");
+
+  if (this->__isset.success) {
+    xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_STRUCT, 0);
+    xfer += this->success.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  } else if (this->__isset.error) {
+    xfer += oprot->writeFieldBegin("error", ::apache::thrift::protocol::T_STRUCT, 1);
+    xfer += this->error.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+operator_service_explain_presult::~operator_service_explain_presult() noexcept {
+}
+
+
+uint32_t operator_service_explain_presult::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += (*(this->success)).read(iprot);
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->error.read(iprot);
+          this->__isset.error = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+void operator_serviceClient::log_in(const std::string& name, const std::string& key)
+{
+  send_log_in(name, key);
+  recv_log_in();
+}
+
+void operator_serviceClient::send_log_in(const std::string& name, const std::string& key)
+{
+  int32_t cseqid = 0;
+  oprot_->writeMessageBegin("log_in", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  operator_service_log_in_pargs args;
+  args.name = &name;
+  args.key = &key;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+}
+
+void operator_serviceClient::recv_log_in()
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  iprot_->readMessageBegin(fname, mtype, rseqid);
+  if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+    ::apache::thrift::TApplicationException x;
+    x.read(iprot_);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+    throw x;
+  }
+  if (mtype != ::apache::thrift::protocol::T_REPLY) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  if (fname.compare("log_in") != 0) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  operator_service_log_in_presult result;
+  result.read(iprot_);
+  iprot_->readMessageEnd();
+  iprot_->getTransport()->readEnd();
+
+  if (result.__isset.error) {
+    throw result.error;
+  }
+  return;
+}
+
+void operator_serviceClient::check(check_reply& _return, const std::vector<document> & documents)
+{
+  send_check(documents);
+  recv_check(_return);
+}
+
+void operator_serviceClient::send_check(const std::vector<document> & documents)
+{
+  int32_t cseqid = 0;
+  oprot_->writeMessageBegin("check", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  operator_service_check_pargs args;
+  args.documents = &documents;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+}
+
+void operator_serviceClient::recv_check(check_reply& _return)
 {
 
   int32_t rseqid = 0;
@@ -1835,6 +2362,9 @@
     // _return pointer has now been filled
     return;
   }
+  if (result.__isset.error) {
+    throw result.error;
+  }
   throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "check failed: unknown result");
 }
 
@@ -1893,6 +2423,9 @@
     // _return pointer has now been filled
     return;
   }
+  if (result.__isset.error) {
+    throw result.error;
+  }
   throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "diff failed: unknown result");
 }
 
@@ -2073,6 +2606,9 @@
     // _return pointer has now been filled
     return;
   }
+  if (result.__isset.error) {
+    throw result.error;
+  }
   throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "status failed: unknown result");
 }
 
@@ -2298,33 +2834,150 @@
   iprot_->readMessageEnd();
   iprot_->getTransport()->readEnd();
 
-  if (result.__isset.success) {
-    // _return pointer has now been filled
-    return;
-  }
-  if (result.__isset.error) {
-    throw result.error;
+  if (result.__isset.success) {
+    // _return pointer has now been filled
+    return;
+  }
+  if (result.__isset.error) {
+    throw result.error;
+  }
+  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "burn failed: unknown result");
+}
+
+void operator_serviceClient::explain(explain_reply& _return, const std::string& trace_id)
+{
+  send_explain(trace_id);
+  recv_explain(_return);
+}
+
+void operator_serviceClient::send_explain(const std::string& trace_id)
+{
+  int32_t cseqid = 0;
+  oprot_->writeMessageBegin("explain", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  operator_service_explain_pargs args;
+  args.trace_id = &trace_id;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+}
+
+void operator_serviceClient::recv_explain(explain_reply& _return)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  iprot_->readMessageBegin(fname, mtype, rseqid);
+  if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+    ::apache::thrift::TApplicationException x;
+    x.read(iprot_);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+    throw x;
+  }
+  if (mtype != ::apache::thrift::protocol::T_REPLY) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  if (fname.compare("explain") != 0) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  operator_service_explain_presult result;
+  result.success = &_return;
+  result.read(iprot_);
+  iprot_->readMessageEnd();
+  iprot_->getTransport()->readEnd();
+
+  if (result.__isset.success) {
+    // _return pointer has now been filled
+    return;
+  }
+  if (result.__isset.error) {
+    throw result.error;
+  }
+  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "explain failed: unknown result");
+}
+
+bool operator_serviceProcessor::dispatchCall(::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, const std::string& fname, int32_t seqid, void* callContext) {
+  ProcessMap::iterator pfn;
+  pfn = processMap_.find(fname);
+  if (pfn == processMap_.end()) {
+    iprot->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot->readMessageEnd();
+    iprot->getTransport()->readEnd();
+    ::apache::thrift::TApplicationException x(::apache::thrift::TApplicationException::UNKNOWN_METHOD, "Invalid method name: '"+fname+"'");
+    oprot->writeMessageBegin(fname, ::apache::thrift::protocol::T_EXCEPTION, seqid);
+    x.write(oprot);
+    oprot->writeMessageEnd();
+    oprot->getTransport()->writeEnd();
+    oprot->getTransport()->flush();
+    return true;
+  }
+  (this->*(pfn->second))(seqid, iprot, oprot, callContext);
+  return true;
+}
+
+void operator_serviceProcessor::process_log_in(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
+{
+  void* ctx = nullptr;
+  if (this->eventHandler_.get() != nullptr) {
+    ctx = this->eventHandler_->getContext("operator_service.log_in", callContext);
+  }
+  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "operator_service.log_in");
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preRead(ctx, "operator_service.log_in");
+  }
+
+  operator_service_log_in_args args;
+  args.read(iprot);
+  iprot->readMessageEnd();
+  uint32_t bytes = iprot->getTransport()->readEnd();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postRead(ctx, "operator_service.log_in", bytes);
   }
-  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "burn failed: unknown result");
-}
 
-bool operator_serviceProcessor::dispatchCall(::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, const std::string& fname, int32_t seqid, void* callContext) {
-  ProcessMap::iterator pfn;
-  pfn = processMap_.find(fname);
-  if (pfn == processMap_.end()) {
-    iprot->skip(::apache::thrift::protocol::T_STRUCT);
-    iprot->readMessageEnd();
-    iprot->getTransport()->readEnd();
-    ::apache::thrift::TApplicationException x(::apache::thrift::TApplicationException::UNKNOWN_METHOD, "Invalid method name: '"+fname+"'");
-    oprot->writeMessageBegin(fname, ::apache::thrift::protocol::T_EXCEPTION, seqid);
+  operator_service_log_in_result result;
+  try {
+    iface_->log_in(args.name, args.key);
+  } catch (operator_error &error) {
+    result.error = std::move(error);
+    result.__isset.error = true;
+  } catch (const std::exception& e) {
+    if (this->eventHandler_.get() != nullptr) {
+      this->eventHandler_->handlerError(ctx, "operator_service.log_in");
+    }
+
+    ::apache::thrift::TApplicationException x(e.what());
+    oprot->writeMessageBegin("log_in", ::apache::thrift::protocol::T_EXCEPTION, seqid);
     x.write(oprot);
     oprot->writeMessageEnd();
     oprot->getTransport()->writeEnd();
     oprot->getTransport()->flush();
-    return true;
+    return;
+  }
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preWrite(ctx, "operator_service.log_in");
+  }
+
+  oprot->writeMessageBegin("log_in", ::apache::thrift::protocol::T_REPLY, seqid);
+  result.write(oprot);
+  oprot->writeMessageEnd();
+  bytes = oprot->getTransport()->writeEnd();
+  oprot->getTransport()->flush();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postWrite(ctx, "operator_service.log_in", bytes);
   }
-  (this->*(pfn->second))(seqid, iprot, oprot, callContext);
-  return true;
 }
 
 void operator_serviceProcessor::process_check(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
@@ -2352,6 +3005,9 @@
   try {
     iface_->check(result.success, args.documents);
     result.__isset.success = true;
+  } catch (operator_error &error) {
+    result.error = std::move(error);
+    result.__isset.error = true;
   } catch (const std::exception& e) {
     if (this->eventHandler_.get() != nullptr) {
       this->eventHandler_->handlerError(ctx, "operator_service.check");
@@ -2406,6 +3062,9 @@
   try {
     iface_->diff(result.success, args.documents);
     result.__isset.success = true;
+  } catch (operator_error &error) {
+    result.error = std::move(error);
+    result.__isset.error = true;
   } catch (const std::exception& e) {
     if (this->eventHandler_.get() != nullptr) {
       this->eventHandler_->handlerError(ctx, "operator_service.diff");
@@ -2574,6 +3233,9 @@
   try {
     iface_->status(result.success);
     result.__isset.success = true;
+  } catch (operator_error &error) {
+    result.error = std::move(error);
+    result.__isset.error = true;
   } catch (const std::exception& e) {
     if (this->eventHandler_.get() != nullptr) {
       this->eventHandler_->handlerError(ctx, "operator_service.status");
@@ -2829,6 +3491,63 @@
   }
 }
 
+void operator_serviceProcessor::process_explain(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
+{
+  void* ctx = nullptr;
+  if (this->eventHandler_.get() != nullptr) {
+    ctx = this->eventHandler_->getContext("operator_service.explain", callContext);
+  }
+  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "operator_service.explain");
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preRead(ctx, "operator_service.explain");
+  }
+
+  operator_service_explain_args args;
+  args.read(iprot);
+  iprot->readMessageEnd();
+  uint32_t bytes = iprot->getTransport()->readEnd();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postRead(ctx, "operator_service.explain", bytes);
+  }
+
+  operator_service_explain_result result;
+  try {
+    iface_->explain(result.success, args.trace_id);
+    result.__isset.success = true;
+  } catch (operator_error &error) {
+    result.error = std::move(error);
+    result.__isset.error = true;
+  } catch (const std::exception& e) {
+    if (this->eventHandler_.get() != nullptr) {
+      this->eventHandler_->handlerError(ctx, "operator_service.explain");
+    }
+
+    ::apache::thrift::TApplicationException x(e.what());
+    oprot->writeMessageBegin("explain", ::apache::thrift::protocol::T_EXCEPTION, seqid);
+    x.write(oprot);
+    oprot->writeMessageEnd();
+    oprot->getTransport()->writeEnd();
+    oprot->getTransport()->flush();
+    return;
+  }
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preWrite(ctx, "operator_service.explain");
+  }
+
+  oprot->writeMessageBegin("explain", ::apache::thrift::protocol::T_REPLY, seqid);
+  result.write(oprot);
+  oprot->writeMessageEnd();
+  bytes = oprot->getTransport()->writeEnd();
+  oprot->getTransport()->flush();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postWrite(ctx, "operator_service.explain", bytes);
+  }
+}
+
 ::std::shared_ptr< ::apache::thrift::TProcessor > operator_serviceProcessorFactory::getProcessor(const ::apache::thrift::TConnectionInfo& connInfo) {
   ::apache::thrift::ReleaseHandler< operator_serviceIfFactory > cleanup(handlerFactory_);
   ::std::shared_ptr< operator_serviceIf > handler(handlerFactory_->getHandler(connInfo), cleanup);
@@ -2836,6 +3555,89 @@
   return processor;
 }
 
+void operator_serviceConcurrentClient::log_in(const std::string& name, const std::string& key)
+{
+  int32_t seqid = send_log_in(name, key);
+  recv_log_in(seqid);
+}
+
+int32_t operator_serviceConcurrentClient::send_log_in(const std::string& name, const std::string& key)
+{
+  int32_t cseqid = this->sync_->generateSeqId();
+  ::apache::thrift::async::TConcurrentSendSentry sentry(this->sync_.get());
+  oprot_->writeMessageBegin("log_in", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  operator_service_log_in_pargs args;
+  args.name = &name;
+  args.key = &key;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+
+  sentry.commit();
+  return cseqid;
+}
+
+void operator_serviceConcurrentClient::recv_log_in(const int32_t seqid)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  // the read mutex gets dropped and reacquired as part of waitForWork()
+  // The destructor of this sentry wakes up other clients
+  ::apache::thrift::async::TConcurrentRecvSentry sentry(this->sync_.get(), seqid);
+
+  while(true) {
+    if(!this->sync_->getPending(fname, mtype, rseqid)) {
+      iprot_->readMessageBegin(fname, mtype, rseqid);
+    }
+    if(seqid == rseqid) {
+      if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+        ::apache::thrift::TApplicationException x;
+        x.read(iprot_);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+        sentry.commit();
+        throw x;
+      }
+      if (mtype != ::apache::thrift::protocol::T_REPLY) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+      }
+      if (fname.compare("log_in") != 0) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+
+        // in a bad state, don't commit
+        using ::apache::thrift::protocol::TProtocolException;
+        throw TProtocolException(TProtocolException::INVALID_DATA);
+      }
+      operator_service_log_in_presult result;
+      result.read(iprot_);
+      iprot_->readMessageEnd();
+      iprot_->getTransport()->readEnd();
+
+      if (result.__isset.error) {
+        sentry.commit();
+        throw result.error;
+      }
+      sentry.commit();
+      return;
+    }
+    // seqid != rseqid
+    this->sync_->updatePending(fname, mtype, rseqid);
+
+    // this will temporarily unlock the readMutex, and let other clients get work done
+    this->sync_->waitForWork(seqid);
+  } // end while(true)
+}
+
 void operator_serviceConcurrentClient::check(check_reply& _return, const std::vector<document> & documents)
 {
   int32_t seqid = send_check(documents);
@@ -2909,6 +3711,10 @@
         sentry.commit();
         return;
       }
+      if (result.__isset.error) {
+        sentry.commit();
+        throw result.error;
+      }
       // in a bad state, don't commit
       throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "check failed: unknown result");
     }
@@ -2993,6 +3799,10 @@
         sentry.commit();
         return;
       }
+      if (result.__isset.error) {
+        sentry.commit();
+        throw result.error;
+      }
       // in a bad state, don't commit
       throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "diff failed: unknown result");
     }
@@ -3253,6 +4063,10 @@
         sentry.commit();
         return;
       }
+      if (result.__isset.error) {
+        sentry.commit();
+        throw result.error;
+      }
       // in a bad state, don't commit
       throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "status failed: unknown result");
     }
@@ -3602,5 +4416,93 @@
   } // end while(true)
 }
 
+void operator_serviceConcurrentClient::explain(explain_reply& _return, const std::string& trace_id)
+{
+  int32_t seqid = send_explain(trace_id);
+  recv_explain(_return, seqid);
+}
+
+int32_t operator_serviceConcurrentClient::send_explain(const std::string& trace_id)
+{
+  int32_t cseqid = this->sync_->generateSeqId();
+  ::apache::thrift::async::TConcurrentSendSentry sentry(this->sync_.get());
+  oprot_->writeMessageBegin("explain", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  operator_service_explain_pargs args;
+  args.trace_id = &trace_id;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+
+  sentry.commit();
+  return cseqid;
+}
+
+void operator_serviceConcurrentClient::recv_explain(explain_reply& _return, const int32_t seqid)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  // the read mutex gets dropped and reacquired as part of waitForWork()
+  // The destructor of this sentry wakes up other clients
+  ::apache::thrift::async::TConcurrentRecvSentry sentry(this->sync_.get(), seqid);
+
+  while(true) {
+    if(!this->sync_->getPending(fname, mtype, rseqid)) {
+      iprot_->readMessageBegin(fname, mtype, rseqid);
+    }
+    if(seqid == rseqid) {
+      if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+        ::apache::thrift::TApplicationException x;
+        x.read(iprot_);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+        sentry.commit();
+        throw x;
+      }
+      if (mtype != ::apache::thrift::protocol::T_REPLY) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+      }
+      if (fname.compare("explain") != 0) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+
+        // in a bad state, don't commit
+        using ::apache::thrift::protocol::TProtocolException;
+        throw TProtocolException(TProtocolException::INVALID_DATA);
+      }
+      operator_service_explain_presult result;
+      result.success = &_return;
+      result.read(iprot_);
+      iprot_->readMessageEnd();
+      iprot_->getTransport()->readEnd();
+
+      if (result.__isset.success) {
+        // _return pointer has now been filled
+        sentry.commit();
+        return;
+      }
+      if (result.__isset.error) {
+        sentry.commit();
+        throw result.error;
+      }
+      // in a bad state, don't commit
+      throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "explain failed: unknown result");
+    }
+    // seqid != rseqid
+    this->sync_->updatePending(fname, mtype, rseqid);
+
+    // this will temporarily unlock the readMutex, and let other clients get work done
+    this->sync_->waitForWork(seqid);
+  } // end while(true)
+}
+
 }} // namespace
 
--- a/src/gen/operator_service.h
+++ b/src/gen/operator_service.h
@@ -19,10 +19,23 @@
   #pragma warning (disable : 4250 ) //inheriting methods via dominance 
 #endif
 
+/**
+ * The first call on a connection is `log_in`; all others are refused before.
+ * A refusal names the right that is missing.
+ */
 class operator_serviceIf {
  public:
   virtual ~operator_serviceIf() {}
 
+  /**
+   * Logs in as `platform` or `MEMBER/OPERATOR`. The key is compared with its
+   * stored hash. It crosses the network as it is; see docs/threat-model.md.
+   * 
+   * @param name
+   * @param key
+   */
+  virtual void log_in(const std::string& name, const std::string& key) = 0;
+
   /**
    * Checks a folder of declarations; changes nothing.
    * 
@@ -80,6 +93,14 @@
    * @param member
    */
   virtual void burn(burn_reply& _return, const std::string& member) = 0;
+
+  /**
+   * The decisions on a request of the last minutes, by its trace id (32
+   * hexadecimal digits), as far as nodes still remember them.
+   * 
+   * @param trace_id
+   */
+  virtual void explain(explain_reply& _return, const std::string& trace_id) = 0;
 };
 
 class operator_serviceIfFactory {
@@ -109,6 +130,9 @@
 class operator_serviceNull : virtual public operator_serviceIf {
  public:
   virtual ~operator_serviceNull() {}
+  void log_in(const std::string& /* name */, const std::string& /* key */) override {
+    return;
+  }
   void check(check_reply& /* _return */, const std::vector<document> & /* documents */) override {
     return;
   }
@@ -136,6 +160,126 @@
   void burn(burn_reply& /* _return */, const std::string& /* member */) override {
     return;
   }
+  void explain(explain_reply& /* _return */, const std::string& /* trace_id */) override {
+    return;
+  }
+};
+
+typedef struct _operator_service_log_in_args__isset {
+  _operator_service_log_in_args__isset() : name(false), key(false) {}
+  bool name :1;
+  bool key :1;
+} _operator_service_log_in_args__isset;
+
+class operator_service_log_in_args {
+ public:
+
+  operator_service_log_in_args(const operator_service_log_in_args&);
+  operator_service_log_in_args(operator_service_log_in_args&&) noexcept;
+  operator_service_log_in_args& operator=(const operator_service_log_in_args&);
+  operator_service_log_in_args& operator=(operator_service_log_in_args&&) noexcept;
+  operator_service_log_in_args() noexcept
+                               : name(),
+                                 key() {
+  }
+
+  virtual ~operator_service_log_in_args() noexcept;
+  std::string name;
+  std::string key;
+
+  _operator_service_log_in_args__isset __isset;
+
+  void __set_name(const std::string& val);
+
+  void __set_key(const std::string& val);
+
+  bool operator == (const operator_service_log_in_args & rhs) const
+  {
+    if (!(name == rhs.name))
+      return false;
+    if (!(key == rhs.key))
+      return false;
+    return true;
+  }
+  bool operator != (const operator_service_log_in_args &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const operator_service_log_in_args & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+
+class operator_service_log_in_pargs {
+ public:
+
+
+  virtual ~operator_service_log_in_pargs() noexcept;
+  const std::string* name;
+  const std::string* key;
+
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _operator_service_log_in_result__isset {
+  _operator_service_log_in_result__isset() : error(false) {}
+  bool error :1;
+} _operator_service_log_in_result__isset;
+
+class operator_service_log_in_result {
+ public:
+
+  operator_service_log_in_result(const operator_service_log_in_result&);
+  operator_service_log_in_result(operator_service_log_in_result&&) noexcept;
+  operator_service_log_in_result& operator=(const operator_service_log_in_result&);
+  operator_service_log_in_result& operator=(operator_service_log_in_result&&) noexcept;
+  operator_service_log_in_result() noexcept {
+  }
+
+  virtual ~operator_service_log_in_result() noexcept;
+  operator_error error;
+
+  _operator_service_log_in_result__isset __isset;
+
+  void __set_error(const operator_error& val);
+
+  bool operator == (const operator_service_log_in_result & rhs) const
+  {
+    if (!(error == rhs.error))
+      return false;
+    return true;
+  }
+  bool operator != (const operator_service_log_in_result &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const operator_service_log_in_result & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _operator_service_log_in_presult__isset {
+  _operator_service_log_in_presult__isset() : error(false) {}
+  bool error :1;
+} _operator_service_log_in_presult__isset;
+
+class operator_service_log_in_presult {
+ public:
+
+
+  virtual ~operator_service_log_in_presult() noexcept;
+  operator_error error;
+
+  _operator_service_log_in_presult__isset __isset;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+
 };
 
 typedef struct _operator_service_check_args__isset {
@@ -190,8 +334,9 @@
 };
 
 typedef struct _operator_service_check_result__isset {
-  _operator_service_check_result__isset() : success(false) {}
+  _operator_service_check_result__isset() : success(false), error(false) {}
   bool success :1;
+  bool error :1;
 } _operator_service_check_result__isset;
 
 class operator_service_check_result {
@@ -206,15 +351,20 @@
 
   virtual ~operator_service_check_result() noexcept;
   check_reply success;
+  operator_error error;
 
   _operator_service_check_result__isset __isset;
 
   void __set_success(const check_reply& val);
 
+  void __set_error(const operator_error& val);
+
   bool operator == (const operator_service_check_result & rhs) const
   {
     if (!(success == rhs.success))
       return false;
+    if (!(error == rhs.error))
+      return false;
     return true;
   }
   bool operator != (const operator_service_check_result &rhs) const {
@@ -229,8 +379,9 @@
 };
 
 typedef struct _operator_service_check_presult__isset {
-  _operator_service_check_presult__isset() : success(false) {}
+  _operator_service_check_presult__isset() : success(false), error(false) {}
   bool success :1;
+  bool error :1;
 } _operator_service_check_presult__isset;
 
 class operator_service_check_presult {
@@ -239,6 +390,7 @@
 
   virtual ~operator_service_check_presult() noexcept;
   check_reply* success;
+  operator_error error;
 
   _operator_service_check_presult__isset __isset;
 
@@ -298,8 +450,9 @@
 };
 
 typedef struct _operator_service_diff_result__isset {
-  _operator_service_diff_result__isset() : success(false) {}
+  _operator_service_diff_result__isset() : success(false), error(false) {}
   bool success :1;
+  bool error :1;
 } _operator_service_diff_result__isset;
 
 class operator_service_diff_result {
@@ -314,15 +467,20 @@
 
   virtual ~operator_service_diff_result() noexcept;
   diff_reply success;
+  operator_error error;
 
   _operator_service_diff_result__isset __isset;
 
   void __set_success(const diff_reply& val);
 
+  void __set_error(const operator_error& val);
+
   bool operator == (const operator_service_diff_result & rhs) const
   {
     if (!(success == rhs.success))
       return false;
+    if (!(error == rhs.error))
+      return false;
     return true;
   }
   bool operator != (const operator_service_diff_result &rhs) const {
@@ -337,8 +495,9 @@
 };
 
 typedef struct _operator_service_diff_presult__isset {
-  _operator_service_diff_presult__isset() : success(false) {}
+  _operator_service_diff_presult__isset() : success(false), error(false) {}
   bool success :1;
+  bool error :1;
 } _operator_service_diff_presult__isset;
 
 class operator_service_diff_presult {
@@ -347,6 +506,7 @@
 
   virtual ~operator_service_diff_presult() noexcept;
   diff_reply* success;
+  operator_error error;
 
   _operator_service_diff_presult__isset __isset;
 
@@ -635,8 +795,9 @@
 };
 
 typedef struct _operator_service_status_result__isset {
-  _operator_service_status_result__isset() : success(false) {}
+  _operator_service_status_result__isset() : success(false), error(false) {}
   bool success :1;
+  bool error :1;
 } _operator_service_status_result__isset;
 
 class operator_service_status_result {
@@ -651,15 +812,20 @@
 
   virtual ~operator_service_status_result() noexcept;
   status_reply success;
+  operator_error error;
 
   _operator_service_status_result__isset __isset;
 
   void __set_success(const status_reply& val);
 
+  void __set_error(const operator_error& val);
+
   bool operator == (const operator_service_status_result & rhs) const
   {
     if (!(success == rhs.success))
       return false;
+    if (!(error == rhs.error))
+      return false;
     return true;
   }
   bool operator != (const operator_service_status_result &rhs) const {
@@ -674,8 +840,9 @@
 };
 
 typedef struct _operator_service_status_presult__isset {
-  _operator_service_status_presult__isset() : success(false) {}
+  _operator_service_status_presult__isset() : success(false), error(false) {}
   bool success :1;
+  bool error :1;
 } _operator_service_status_presult__isset;
 
 class operator_service_status_presult {
@@ -684,6 +851,7 @@
 
   virtual ~operator_service_status_presult() noexcept;
   status_reply* success;
+  operator_error error;
 
   _operator_service_status_presult__isset __isset;
 
@@ -1117,6 +1285,123 @@
 
 };
 
+typedef struct _operator_service_explain_args__isset {
+  _operator_service_explain_args__isset() : trace_id(false) {}
+  bool trace_id :1;
+} _operator_service_explain_args__isset;
+
+class operator_service_explain_args {
+ public:
+
+  operator_service_explain_args(const operator_service_explain_args&);
+  operator_service_explain_args(operator_service_explain_args&&) noexcept;
+  operator_service_explain_args& operator=(const operator_service_explain_args&);
+  operator_service_explain_args& operator=(operator_service_explain_args&&) noexcept;
+  operator_service_explain_args() noexcept
+                                : trace_id() {
+  }
+
+  virtual ~operator_service_explain_args() noexcept;
+  std::string trace_id;
+
+  _operator_service_explain_args__isset __isset;
+
+  void __set_trace_id(const std::string& val);
+
+  bool operator == (const operator_service_explain_args & rhs) const
+  {
+    if (!(trace_id == rhs.trace_id))
+      return false;
+    return true;
+  }
+  bool operator != (const operator_service_explain_args &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const operator_service_explain_args & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+
+class operator_service_explain_pargs {
+ public:
+
+
+  virtual ~operator_service_explain_pargs() noexcept;
+  const std::string* trace_id;
+
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _operator_service_explain_result__isset {
+  _operator_service_explain_result__isset() : success(false), error(false) {}
+  bool success :1;
+  bool error :1;
+} _operator_service_explain_result__isset;
+
+class operator_service_explain_result {
+ public:
+
+  operator_service_explain_result(const operator_service_explain_result&);
+  operator_service_explain_result(operator_service_explain_result&&) noexcept;
+  operator_service_explain_result& operator=(const operator_service_explain_result&);
+  operator_service_explain_result& operator=(operator_service_explain_result&&) noexcept;
+  operator_service_explain_result() noexcept {
+  }
+
+  virtual ~operator_service_explain_result() noexcept;
+  explain_reply success;
+  operator_error error;
+
+  _operator_service_explain_result__isset __isset;
+
+  void __set_success(const explain_reply& val);
+
+  void __set_error(const operator_error& val);
+
+  bool operator == (const operator_service_explain_result & rhs) const
+  {
+    if (!(success == rhs.success))
+      return false;
+    if (!(error == rhs.error))
+      return false;
+    return true;
+  }
+  bool operator != (const operator_service_explain_result &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const operator_service_explain_result & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _operator_service_explain_presult__isset {
+  _operator_service_explain_presult__isset() : success(false), error(false) {}
+  bool success :1;
+  bool error :1;
+} _operator_service_explain_presult__isset;
+
+class operator_service_explain_presult {
+ public:
+
+
+  virtual ~operator_service_explain_presult() noexcept;
+  explain_reply* success;
+  operator_error error;
+
+  _operator_service_explain_presult__isset __isset;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+
+};
+
 class operator_serviceClient : virtual public operator_serviceIf {
  public:
   operator_serviceClient(std::shared_ptr< ::apache::thrift::protocol::TProtocol> prot) {
@@ -1142,6 +1427,16 @@
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> getOutputProtocol() {
     return poprot_;
   }
+  /**
+   * Logs in as `platform` or `MEMBER/OPERATOR`. The key is compared with its
+   * stored hash. It crosses the network as it is; see docs/threat-model.md.
+   * 
+   * @param name
+   * @param key
+   */
+  void log_in(const std::string& name, const std::string& key) override;
+  void send_log_in(const std::string& name, const std::string& key);
+  void recv_log_in();
   /**
    * Checks a folder of declarations; changes nothing.
    * 
@@ -1209,6 +1504,15 @@
   void burn(burn_reply& _return, const std::string& member) override;
   void send_burn(const std::string& member);
   void recv_burn(burn_reply& _return);
+  /**
+   * The decisions on a request of the last minutes, by its trace id (32
+   * hexadecimal digits), as far as nodes still remember them.
+   * 
+   * @param trace_id
+   */
+  void explain(explain_reply& _return, const std::string& trace_id) override;
+  void send_explain(const std::string& trace_id);
+  void recv_explain(explain_reply& _return);
  protected:
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> piprot_;
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> poprot_;
@@ -1224,6 +1528,7 @@
   typedef  void (operator_serviceProcessor::*ProcessFunction)(int32_t, ::apache::thrift::protocol::TProtocol*, ::apache::thrift::protocol::TProtocol*, void*);
   typedef std::map<std::string, ProcessFunction> ProcessMap;
   ProcessMap processMap_;
+  void process_log_in(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_check(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_diff(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_apply(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
@@ -1233,9 +1538,11 @@
   void process_undrain(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_report(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_burn(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
+  void process_explain(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
  public:
   operator_serviceProcessor(::std::shared_ptr<operator_serviceIf> iface) :
     iface_(iface) {
+    processMap_["log_in"] = &operator_serviceProcessor::process_log_in;
     processMap_["check"] = &operator_serviceProcessor::process_check;
     processMap_["diff"] = &operator_serviceProcessor::process_diff;
     processMap_["apply"] = &operator_serviceProcessor::process_apply;
@@ -1245,6 +1552,7 @@
     processMap_["undrain"] = &operator_serviceProcessor::process_undrain;
     processMap_["report"] = &operator_serviceProcessor::process_report;
     processMap_["burn"] = &operator_serviceProcessor::process_burn;
+    processMap_["explain"] = &operator_serviceProcessor::process_explain;
   }
 
   virtual ~operator_serviceProcessor() {}
@@ -1273,6 +1581,22 @@
     ifaces_.push_back(iface);
   }
  public:
+  /**
+   * Logs in as `platform` or `MEMBER/OPERATOR`. The key is compared with its
+   * stored hash. It crosses the network as it is; see docs/threat-model.md.
+   * 
+   * @param name
+   * @param key
+   */
+  void log_in(const std::string& name, const std::string& key) override {
+    size_t sz = ifaces_.size();
+    size_t i = 0;
+    for (; i < (sz - 1); ++i) {
+      ifaces_[i]->log_in(name, key);
+    }
+    ifaces_[i]->log_in(name, key);
+  }
+
   /**
    * Checks a folder of declarations; changes nothing.
    * 
@@ -1401,6 +1725,22 @@
     return;
   }
 
+  /**
+   * The decisions on a request of the last minutes, by its trace id (32
+   * hexadecimal digits), as far as nodes still remember them.
+   * 
+   * @param trace_id
+   */
+  void explain(explain_reply& _return, const std::string& trace_id) override {
+    size_t sz = ifaces_.size();
+    size_t i = 0;
+    for (; i < (sz - 1); ++i) {
+      ifaces_[i]->explain(_return, trace_id);
+    }
+    ifaces_[i]->explain(_return, trace_id);
+    return;
+  }
+
 };
 
 // The 'concurrent' client is a thread safe client that correctly handles
@@ -1433,6 +1773,16 @@
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> getOutputProtocol() {
     return poprot_;
   }
+  /**
+   * Logs in as `platform` or `MEMBER/OPERATOR`. The key is compared with its
+   * stored hash. It crosses the network as it is; see docs/threat-model.md.
+   * 
+   * @param name
+   * @param key
+   */
+  void log_in(const std::string& name, const std::string& key) override;
+  int32_t send_log_in(const std::string& name, const std::string& key);
+  void recv_log_in(const int32_t seqid);
   /**
    * Checks a folder of declarations; changes nothing.
    * 
@@ -1500,6 +1850,15 @@
   void burn(burn_reply& _return, const std::string& member) override;
   int32_t send_burn(const std::string& member);
   void recv_burn(burn_reply& _return, const int32_t seqid);
+  /**
+   * The decisions on a request of the last minutes, by its trace id (32
+   * hexadecimal digits), as far as nodes still remember them.
+   * 
+   * @param trace_id
+   */
+  void explain(explain_reply& _return, const std::string& trace_id) override;
+  int32_t send_explain(const std::string& trace_id);
+  void recv_explain(explain_reply& _return, const int32_t seqid);
  protected:
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> piprot_;
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> poprot_;
--- a/src/gen/operator_types.cpp
+++ b/src/gen/operator_types.cpp
@@ -3986,6 +3986,474 @@
 }
 
 
+decision::~decision() noexcept {
+}
+
+
+void decision::__set_at_ms(const int64_t val) {
+  this->at_ms = val;
+}
+
+void decision::__set_node(const std::string& val) {
+  this->node = val;
+}
+
+void decision::__set_zone(const std::string& val) {
+  this->zone = val;
+}
+
+void decision::__set_service_name(const std::string& val) {
+  this->service_name = val;
+}
+
+void decision::__set_kind(const std::string& val) {
+  this->kind = val;
+}
+
+void decision::__set_point(const std::string& val) {
+  this->point = val;
+}
+
+void decision::__set_outcome(const std::string& val) {
+  this->outcome = val;
+}
+
+void decision::__set_reason(const std::string& val) {
+  this->reason = val;
+}
+
+void decision::__set_peer(const std::string& val) {
+  this->peer = val;
+}
+std::ostream& operator<<(std::ostream& out, const decision& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t decision::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_at_ms = false;
+  bool isset_node = false;
+  bool isset_zone = false;
+  bool isset_service_name = false;
+  bool isset_kind = false;
+  bool isset_point = false;
+  bool isset_outcome = false;
+  bool isset_reason = false;
+  bool isset_peer = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->at_ms);
+          isset_at_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->node);
+          isset_node = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->zone);
+          isset_zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->service_name);
+          isset_service_name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->kind);
+          isset_kind = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->point);
+          isset_point = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->outcome);
+          isset_outcome = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->reason);
+          isset_reason = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->peer);
+          isset_peer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_at_ms)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_node)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_zone)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_service_name)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_kind)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_point)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_outcome)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_reason)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_peer)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t decision::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("decision");
+
+  xfer += oprot->writeFieldBegin("at_ms", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->at_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("node", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->node);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->zone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("service_name", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->service_name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->kind);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("point", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->point);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("outcome", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeString(this->outcome);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reason", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeString(this->reason);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("peer", ::apache::thrift::protocol::T_STRING, 9);
+  xfer += oprot->writeString(this->peer);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(decision &a, decision &b) {
+  using ::std::swap;
+  swap(a.at_ms, b.at_ms);
+  swap(a.node, b.node);
+  swap(a.zone, b.zone);
+  swap(a.service_name, b.service_name);
+  swap(a.kind, b.kind);
+  swap(a.point, b.point);
+  swap(a.outcome, b.outcome);
+  swap(a.reason, b.reason);
+  swap(a.peer, b.peer);
+}
+
+decision::decision(const decision& other180) {
+  at_ms = other180.at_ms;
+  node = other180.node;
+  zone = other180.zone;
+  service_name = other180.service_name;
+  kind = other180.kind;
+  point = other180.point;
+  outcome = other180.outcome;
+  reason = other180.reason;
+  peer = other180.peer;
+}
+decision::decision(decision&& other181) noexcept {
+  at_ms = other181.at_ms;
+  node = std::move(other181.node);
+  zone = std::move(other181.zone);
+  service_name = std::move(other181.service_name);
+  kind = std::move(other181.kind);
+  point = std::move(other181.point);
+  outcome = std::move(other181.outcome);
+  reason = std::move(other181.reason);
+  peer = std::move(other181.peer);
+}
+decision& decision::operator=(const decision& other182) {
+  at_ms = other182.at_ms;
+  node = other182.node;
+  zone = other182.zone;
+  service_name = other182.service_name;
+  kind = other182.kind;
+  point = other182.point;
+  outcome = other182.outcome;
+  reason = other182.reason;
+  peer = other182.peer;
+  return *this;
+}
+decision& decision::operator=(decision&& other183) noexcept {
+  at_ms = other183.at_ms;
+  node = std::move(other183.node);
+  zone = std::move(other183.zone);
+  service_name = std::move(other183.service_name);
+  kind = std::move(other183.kind);
+  point = std::move(other183.point);
+  outcome = std::move(other183.outcome);
+  reason = std::move(other183.reason);
+  peer = std::move(other183.peer);
+  return *this;
+}
+void decision::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "decision(";
+  out << "at_ms=" << to_string(at_ms);
+  out << ", " << "node=" << to_string(node);
+  out << ", " << "zone=" << to_string(zone);
+  out << ", " << "service_name=" << to_string(service_name);
+  out << ", " << "kind=" << to_string(kind);
+  out << ", " << "point=" << to_string(point);
+  out << ", " << "outcome=" << to_string(outcome);
+  out << ", " << "reason=" << to_string(reason);
+  out << ", " << "peer=" << to_string(peer);
+  out << ")";
+}
+
+
+explain_reply::~explain_reply() noexcept {
+}
+
+
+void explain_reply::__set_decisions(const std::vector<decision> & val) {
+  this->decisions = val;
+}
+
+void explain_reply::__set_nodes_heard(const int32_t val) {
+  this->nodes_heard = val;
+}
+
+void explain_reply::__set_nodes_known(const int32_t val) {
+  this->nodes_known = val;
+}
+std::ostream& operator<<(std::ostream& out, const explain_reply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t explain_reply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_decisions = false;
+  bool isset_nodes_heard = false;
+  bool isset_nodes_known = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->decisions.clear();
+            uint32_t _size184;
+            ::apache::thrift::protocol::TType _etype187;
+            xfer += iprot->readListBegin(_etype187, _size184);
+            this->decisions.resize(_size184);
+            uint32_t _i188;
+            for (_i188 = 0; _i188 < _size184; ++_i188)
+            {
+              xfer += this->decisions[_i188].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_decisions = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->nodes_heard);
+          isset_nodes_heard = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->nodes_known);
+          isset_nodes_known = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_decisions)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_nodes_heard)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_nodes_known)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t explain_reply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("explain_reply");
+
+  xfer += oprot->writeFieldBegin("decisions", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->decisions.size()));
+    std::vector<decision> ::const_iterator _iter189;
+    for (_iter189 = this->decisions.begin(); _iter189 != this->decisions.end(); ++_iter189)
+    {
+      xfer += (*_iter189).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("nodes_heard", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->nodes_heard);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("nodes_known", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->nodes_known);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(explain_reply &a, explain_reply &b) {
+  using ::std::swap;
+  swap(a.decisions, b.decisions);
+  swap(a.nodes_heard, b.nodes_heard);
+  swap(a.nodes_known, b.nodes_known);
+}
+
+explain_reply::explain_reply(const explain_reply& other190) {
+  decisions = other190.decisions;
+  nodes_heard = other190.nodes_heard;
+  nodes_known = other190.nodes_known;
+}
+explain_reply::explain_reply(explain_reply&& other191) noexcept {
+  decisions = std::move(other191.decisions);
+  nodes_heard = other191.nodes_heard;
+  nodes_known = other191.nodes_known;
+}
+explain_reply& explain_reply::operator=(const explain_reply& other192) {
+  decisions = other192.decisions;
+  nodes_heard = other192.nodes_heard;
+  nodes_known = other192.nodes_known;
+  return *this;
+}
+explain_reply& explain_reply::operator=(explain_reply&& other193) noexcept {
+  decisions = std::move(other193.decisions);
+  nodes_heard = other193.nodes_heard;
+  nodes_known = other193.nodes_known;
+  return *this;
+}
+void explain_reply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "explain_reply(";
+  out << "decisions=" << to_string(decisions);
+  out << ", " << "nodes_heard=" << to_string(nodes_heard);
+  out << ", " << "nodes_known=" << to_string(nodes_known);
+  out << ")";
+}
+
+
 operator_error::~operator_error() noexcept {
 }
 
@@ -4063,18 +4531,18 @@
   swap(a.message, b.message);
 }
 
-operator_error::operator_error(const operator_error& other180) : TException() {
-  message = other180.message;
+operator_error::operator_error(const operator_error& other194) : TException() {
+  message = other194.message;
 }
-operator_error::operator_error(operator_error&& other181) noexcept : TException() {
-  message = std::move(other181.message);
+operator_error::operator_error(operator_error&& other195) noexcept : TException() {
+  message = std::move(other195.message);
 }
-operator_error& operator_error::operator=(const operator_error& other182) {
-  message = other182.message;
+operator_error& operator_error::operator=(const operator_error& other196) {
+  message = other196.message;
   return *this;
 }
-operator_error& operator_error::operator=(operator_error&& other183) noexcept {
-  message = std::move(other183.message);
+operator_error& operator_error::operator=(operator_error&& other197) noexcept {
+  message = std::move(other197.message);
   return *this;
 }
 void operator_error::printTo(std::ostream& out) const {
--- a/src/gen/operator_types.h
+++ b/src/gen/operator_types.h
@@ -104,6 +104,10 @@
 
 class burn_reply;
 
+class decision;
+
+class explain_reply;
+
 class operator_error;
 
 
@@ -1333,6 +1337,164 @@
 std::ostream& operator<<(std::ostream& out, const burn_reply& obj);
 
 
+/**
+ * A decision on a recent request; see `explain`.
+ */
+class decision : public virtual ::apache::thrift::TBase {
+ public:
+
+  decision(const decision&);
+  decision(decision&&) noexcept;
+  decision& operator=(const decision&);
+  decision& operator=(decision&&) noexcept;
+  decision() noexcept
+           : at_ms(0),
+             node(),
+             zone(),
+             service_name(),
+             kind(),
+             point(),
+             outcome(),
+             reason(),
+             peer() {
+  }
+
+  virtual ~decision() noexcept;
+  /**
+   * Milliseconds since the Unix epoch, by the clock of the node.
+   */
+  int64_t at_ms;
+  std::string node;
+  std::string zone;
+  std::string service_name;
+  std::string kind;
+  /**
+   * Where it was taken: `entry`, `try`, `home` or `upstream`.
+   */
+  std::string point;
+  /**
+   * Outcome in its place: `completed`, `not_run` or `unknown`.
+   */
+  std::string outcome;
+  /**
+   * Reason of a refusal; empty without one.
+   */
+  std::string reason;
+  /**
+   * Node that a try was sent to; empty elsewhere.
+   */
+  std::string peer;
+
+  void __set_at_ms(const int64_t val);
+
+  void __set_node(const std::string& val);
+
+  void __set_zone(const std::string& val);
+
+  void __set_service_name(const std::string& val);
+
+  void __set_kind(const std::string& val);
+
+  void __set_point(const std::string& val);
+
+  void __set_outcome(const std::string& val);
+
+  void __set_reason(const std::string& val);
+
+  void __set_peer(const std::string& val);
+
+  bool operator == (const decision & rhs) const
+  {
+    if (!(at_ms == rhs.at_ms))
+      return false;
+    if (!(node == rhs.node))
+      return false;
+    if (!(zone == rhs.zone))
+      return false;
+    if (!(service_name == rhs.service_name))
+      return false;
+    if (!(kind == rhs.kind))
+      return false;
+    if (!(point == rhs.point))
+      return false;
+    if (!(outcome == rhs.outcome))
+      return false;
+    if (!(reason == rhs.reason))
+      return false;
+    if (!(peer == rhs.peer))
+      return false;
+    return true;
+  }
+  bool operator != (const decision &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const decision & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(decision &a, decision &b);
+
+std::ostream& operator<<(std::ostream& out, const decision& obj);
+
+
+class explain_reply : public virtual ::apache::thrift::TBase {
+ public:
+
+  explain_reply(const explain_reply&);
+  explain_reply(explain_reply&&) noexcept;
+  explain_reply& operator=(const explain_reply&);
+  explain_reply& operator=(explain_reply&&) noexcept;
+  explain_reply() noexcept
+                : nodes_heard(0),
+                  nodes_known(0) {
+  }
+
+  virtual ~explain_reply() noexcept;
+  /**
+   * In order of time.
+   */
+  std::vector<decision>  decisions;
+  int32_t nodes_heard;
+  int32_t nodes_known;
+
+  void __set_decisions(const std::vector<decision> & val);
+
+  void __set_nodes_heard(const int32_t val);
+
+  void __set_nodes_known(const int32_t val);
+
+  bool operator == (const explain_reply & rhs) const
+  {
+    if (!(decisions == rhs.decisions))
+      return false;
+    if (!(nodes_heard == rhs.nodes_heard))
+      return false;
+    if (!(nodes_known == rhs.nodes_known))
+      return false;
+    return true;
+  }
+  bool operator != (const explain_reply &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const explain_reply & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(explain_reply &a, explain_reply &b);
+
+std::ostream& operator<<(std::ostream& out, const explain_reply& obj);
+
+
 /**
  * The call was refused; `message` says why.
  */
--- a/src/gen/peer_types.cpp
+++ b/src/gen/peer_types.cpp
@@ -4197,6 +4197,280 @@
 }
 
 
+decision_line::~decision_line() noexcept {
+}
+
+
+void decision_line::__set_at_ms(const int64_t val) {
+  this->at_ms = val;
+}
+
+void decision_line::__set_member(const std::string& val) {
+  this->member = val;
+}
+
+void decision_line::__set_service_name(const std::string& val) {
+  this->service_name = val;
+}
+
+void decision_line::__set_kind(const std::string& val) {
+  this->kind = val;
+}
+
+void decision_line::__set_point(const std::string& val) {
+  this->point = val;
+}
+
+void decision_line::__set_outcome(const std::string& val) {
+  this->outcome = val;
+}
+
+void decision_line::__set_reason(const std::string& val) {
+  this->reason = val;
+}
+
+void decision_line::__set_peer(const std::string& val) {
+  this->peer = val;
+}
+std::ostream& operator<<(std::ostream& out, const decision_line& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t decision_line::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_at_ms = false;
+  bool isset_member = false;
+  bool isset_service_name = false;
+  bool isset_kind = false;
+  bool isset_point = false;
+  bool isset_outcome = false;
+  bool isset_reason = false;
+  bool isset_peer = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->at_ms);
+          isset_at_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->member);
+          isset_member = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->service_name);
+          isset_service_name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->kind);
+          isset_kind = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->point);
+          isset_point = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->outcome);
+          isset_outcome = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->reason);
+          isset_reason = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->peer);
+          isset_peer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_at_ms)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_member)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_service_name)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_kind)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_point)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_outcome)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_reason)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_peer)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t decision_line::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("decision_line");
+
+  xfer += oprot->writeFieldBegin("at_ms", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->at_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("member", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->member);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("service_name", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->service_name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->kind);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("point", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->point);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("outcome", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->outcome);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reason", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeString(this->reason);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("peer", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeString(this->peer);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(decision_line &a, decision_line &b) {
+  using ::std::swap;
+  swap(a.at_ms, b.at_ms);
+  swap(a.member, b.member);
+  swap(a.service_name, b.service_name);
+  swap(a.kind, b.kind);
+  swap(a.point, b.point);
+  swap(a.outcome, b.outcome);
+  swap(a.reason, b.reason);
+  swap(a.peer, b.peer);
+}
+
+decision_line::decision_line(const decision_line& other125) {
+  at_ms = other125.at_ms;
+  member = other125.member;
+  service_name = other125.service_name;
+  kind = other125.kind;
+  point = other125.point;
+  outcome = other125.outcome;
+  reason = other125.reason;
+  peer = other125.peer;
+}
+decision_line::decision_line(decision_line&& other126) noexcept {
+  at_ms = other126.at_ms;
+  member = std::move(other126.member);
+  service_name = std::move(other126.service_name);
+  kind = std::move(other126.kind);
+  point = std::move(other126.point);
+  outcome = std::move(other126.outcome);
+  reason = std::move(other126.reason);
+  peer = std::move(other126.peer);
+}
+decision_line& decision_line::operator=(const decision_line& other127) {
+  at_ms = other127.at_ms;
+  member = other127.member;
+  service_name = other127.service_name;
+  kind = other127.kind;
+  point = other127.point;
+  outcome = other127.outcome;
+  reason = other127.reason;
+  peer = other127.peer;
+  return *this;
+}
+decision_line& decision_line::operator=(decision_line&& other128) noexcept {
+  at_ms = other128.at_ms;
+  member = std::move(other128.member);
+  service_name = std::move(other128.service_name);
+  kind = std::move(other128.kind);
+  point = std::move(other128.point);
+  outcome = std::move(other128.outcome);
+  reason = std::move(other128.reason);
+  peer = std::move(other128.peer);
+  return *this;
+}
+void decision_line::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "decision_line(";
+  out << "at_ms=" << to_string(at_ms);
+  out << ", " << "member=" << to_string(member);
+  out << ", " << "service_name=" << to_string(service_name);
+  out << ", " << "kind=" << to_string(kind);
+  out << ", " << "point=" << to_string(point);
+  out << ", " << "outcome=" << to_string(outcome);
+  out << ", " << "reason=" << to_string(reason);
+  out << ", " << "peer=" << to_string(peer);
+  out << ")";
+}
+
+
 board_pull::~board_pull() noexcept {
 }
 
@@ -4209,6 +4483,11 @@
   this->burn_member = val;
 __isset.burn_member = true;
 }
+
+void board_pull::__set_trace_id(const std::string& val) {
+  this->trace_id = val;
+__isset.trace_id = true;
+}
 std::ostream& operator<<(std::ostream& out, const board_pull& obj)
 {
   obj.printTo(out);
@@ -4254,6 +4533,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->trace_id);
+          this->__isset.trace_id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4282,6 +4569,11 @@
     xfer += oprot->writeString(this->burn_member);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.trace_id) {
+    xfer += oprot->writeFieldBegin("trace_id", ::apache::thrift::protocol::T_STRING, 3);
+    xfer += oprot->writeString(this->trace_id);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4291,29 +4583,34 @@
   using ::std::swap;
   swap(a.request_id, b.request_id);
   swap(a.burn_member, b.burn_member);
+  swap(a.trace_id, b.trace_id);
   swap(a.__isset, b.__isset);
 }
 
-board_pull::board_pull(const board_pull& other125) {
-  request_id = other125.request_id;
-  burn_member = other125.burn_member;
-  __isset = other125.__isset;
+board_pull::board_pull(const board_pull& other129) {
+  request_id = other129.request_id;
+  burn_member = other129.burn_member;
+  trace_id = other129.trace_id;
+  __isset = other129.__isset;
 }
-board_pull::board_pull(board_pull&& other126) noexcept {
-  request_id = other126.request_id;
-  burn_member = std::move(other126.burn_member);
-  __isset = other126.__isset;
+board_pull::board_pull(board_pull&& other130) noexcept {
+  request_id = other130.request_id;
+  burn_member = std::move(other130.burn_member);
+  trace_id = std::move(other130.trace_id);
+  __isset = other130.__isset;
 }
-board_pull& board_pull::operator=(const board_pull& other127) {
-  request_id = other127.request_id;
-  burn_member = other127.burn_member;
-  __isset = other127.__isset;
+board_pull& board_pull::operator=(const board_pull& other131) {
+  request_id = other131.request_id;
+  burn_member = other131.burn_member;
+  trace_id = other131.trace_id;
+  __isset = other131.__isset;
   return *this;
 }
-board_pull& board_pull::operator=(board_pull&& other128) noexcept {
-  request_id = other128.request_id;
-  burn_member = std::move(other128.burn_member);
-  __isset = other128.__isset;
+board_pull& board_pull::operator=(board_pull&& other132) noexcept {
+  request_id = other132.request_id;
+  burn_member = std::move(other132.burn_member);
+  trace_id = std::move(other132.trace_id);
+  __isset = other132.__isset;
   return *this;
 }
 void board_pull::printTo(std::ostream& out) const {
@@ -4321,6 +4618,7 @@
   out << "board_pull(";
   out << "request_id=" << to_string(request_id);
   out << ", " << "burn_member="; (__isset.burn_member ? (out << to_string(burn_member)) : (out << "<null>"));
+  out << ", " << "trace_id="; (__isset.trace_id ? (out << to_string(trace_id)) : (out << "<null>"));
   out << ")";
 }
 
@@ -4358,6 +4656,11 @@
   this->zone = val;
 __isset.zone = true;
 }
+
+void board_push::__set_decisions(const std::vector<decision_line> & val) {
+  this->decisions = val;
+__isset.decisions = true;
+}
 std::ostream& operator<<(std::ostream& out, const board_push& obj)
 {
   obj.printTo(out);
@@ -4419,14 +4722,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size129;
-            ::apache::thrift::protocol::TType _etype132;
-            xfer += iprot->readListBegin(_etype132, _size129);
-            this->rows.resize(_size129);
-            uint32_t _i133;
-            for (_i133 = 0; _i133 < _size129; ++_i133)
+            uint32_t _size133;
+            ::apache::thrift::protocol::TType _etype136;
+            xfer += iprot->readListBegin(_etype136, _size133);
+            this->rows.resize(_size133);
+            uint32_t _i137;
+            for (_i137 = 0; _i137 < _size133; ++_i137)
             {
-              xfer += this->rows[_i133].read(iprot);
+              xfer += this->rows[_i137].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4439,14 +4742,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->in_force.clear();
-            uint32_t _size134;
-            ::apache::thrift::protocol::TType _etype137;
-            xfer += iprot->readListBegin(_etype137, _size134);
-            this->in_force.resize(_size134);
-            uint32_t _i138;
-            for (_i138 = 0; _i138 < _size134; ++_i138)
+            uint32_t _size138;
+            ::apache::thrift::protocol::TType _etype141;
+            xfer += iprot->readListBegin(_etype141, _size138);
+            this->in_force.resize(_size138);
+            uint32_t _i142;
+            for (_i142 = 0; _i142 < _size138; ++_i142)
             {
-              xfer += this->in_force[_i138].read(iprot);
+              xfer += this->in_force[_i142].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4471,6 +4774,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->decisions.clear();
+            uint32_t _size143;
+            ::apache::thrift::protocol::TType _etype146;
+            xfer += iprot->readListBegin(_etype146, _size143);
+            this->decisions.resize(_size143);
+            uint32_t _i147;
+            for (_i147 = 0; _i147 < _size143; ++_i147)
+            {
+              xfer += this->decisions[_i147].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.decisions = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4513,10 +4836,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<board_row> ::const_iterator _iter139;
-    for (_iter139 = this->rows.begin(); _iter139 != this->rows.end(); ++_iter139)
+    std::vector<board_row> ::const_iterator _iter148;
+    for (_iter148 = this->rows.begin(); _iter148 != this->rows.end(); ++_iter148)
     {
-      xfer += (*_iter139).write(oprot);
+      xfer += (*_iter148).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4525,10 +4848,10 @@
   xfer += oprot->writeFieldBegin("in_force", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->in_force.size()));
-    std::vector<space_digest> ::const_iterator _iter140;
-    for (_iter140 = this->in_force.begin(); _iter140 != this->in_force.end(); ++_iter140)
+    std::vector<space_digest> ::const_iterator _iter149;
+    for (_iter149 = this->in_force.begin(); _iter149 != this->in_force.end(); ++_iter149)
     {
-      xfer += (*_iter140).write(oprot);
+      xfer += (*_iter149).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4544,6 +4867,19 @@
     xfer += oprot->writeString(this->zone);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.decisions) {
+    xfer += oprot->writeFieldBegin("decisions", ::apache::thrift::protocol::T_LIST, 8);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->decisions.size()));
+      std::vector<decision_line> ::const_iterator _iter150;
+      for (_iter150 = this->decisions.begin(); _iter150 != this->decisions.end(); ++_iter150)
+      {
+        xfer += (*_iter150).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4558,49 +4894,54 @@
   swap(a.in_force, b.in_force);
   swap(a.burn, b.burn);
   swap(a.zone, b.zone);
+  swap(a.decisions, b.decisions);
   swap(a.__isset, b.__isset);
 }
 
-board_push::board_push(const board_push& other141) {
-  request_id = other141.request_id;
-  node = other141.node;
-  boot = other141.boot;
-  rows = other141.rows;
-  in_force = other141.in_force;
-  burn = other141.burn;
-  zone = other141.zone;
-  __isset = other141.__isset;
-}
-board_push::board_push(board_push&& other142) noexcept {
-  request_id = other142.request_id;
-  node = std::move(other142.node);
-  boot = other142.boot;
-  rows = std::move(other142.rows);
-  in_force = std::move(other142.in_force);
-  burn = std::move(other142.burn);
-  zone = std::move(other142.zone);
-  __isset = other142.__isset;
-}
-board_push& board_push::operator=(const board_push& other143) {
-  request_id = other143.request_id;
-  node = other143.node;
-  boot = other143.boot;
-  rows = other143.rows;
-  in_force = other143.in_force;
-  burn = other143.burn;
-  zone = other143.zone;
-  __isset = other143.__isset;
+board_push::board_push(const board_push& other151) {
+  request_id = other151.request_id;
+  node = other151.node;
+  boot = other151.boot;
+  rows = other151.rows;
+  in_force = other151.in_force;
+  burn = other151.burn;
+  zone = other151.zone;
+  decisions = other151.decisions;
+  __isset = other151.__isset;
+}
+board_push::board_push(board_push&& other152) noexcept {
+  request_id = other152.request_id;
+  node = std::move(other152.node);
+  boot = other152.boot;
+  rows = std::move(other152.rows);
+  in_force = std::move(other152.in_force);
+  burn = std::move(other152.burn);
+  zone = std::move(other152.zone);
+  decisions = std::move(other152.decisions);
+  __isset = other152.__isset;
+}
+board_push& board_push::operator=(const board_push& other153) {
+  request_id = other153.request_id;
+  node = other153.node;
+  boot = other153.boot;
+  rows = other153.rows;
+  in_force = other153.in_force;
+  burn = other153.burn;
+  zone = other153.zone;
+  decisions = other153.decisions;
+  __isset = other153.__isset;
   return *this;
 }
-board_push& board_push::operator=(board_push&& other144) noexcept {
-  request_id = other144.request_id;
-  node = std::move(other144.node);
-  boot = other144.boot;
-  rows = std::move(other144.rows);
-  in_force = std::move(other144.in_force);
-  burn = std::move(other144.burn);
-  zone = std::move(other144.zone);
-  __isset = other144.__isset;
+board_push& board_push::operator=(board_push&& other154) noexcept {
+  request_id = other154.request_id;
+  node = std::move(other154.node);
+  boot = other154.boot;
+  rows = std::move(other154.rows);
+  in_force = std::move(other154.in_force);
+  burn = std::move(other154.burn);
+  zone = std::move(other154.zone);
+  decisions = std::move(other154.decisions);
+  __isset = other154.__isset;
   return *this;
 }
 void board_push::printTo(std::ostream& out) const {
@@ -4613,6 +4954,7 @@
   out << ", " << "in_force=" << to_string(in_force);
   out << ", " << "burn="; (__isset.burn ? (out << to_string(burn)) : (out << "<null>"));
   out << ", " << "zone="; (__isset.zone ? (out << to_string(zone)) : (out << "<null>"));
+  out << ", " << "decisions="; (__isset.decisions ? (out << to_string(decisions)) : (out << "<null>"));
   out << ")";
 }
 
@@ -4734,26 +5076,26 @@
   swap(a.start_ms, b.start_ms);
 }
 
-seal_request::seal_request(const seal_request& other145) {
-  service_name = other145.service_name;
-  epoch = other145.epoch;
-  start_ms = other145.start_ms;
+seal_request::seal_request(const seal_request& other155) {
+  service_name = other155.service_name;
+  epoch = other155.epoch;
+  start_ms = other155.start_ms;
 }
-seal_request::seal_request(seal_request&& other146) noexcept {
-  service_name = std::move(other146.service_name);
-  epoch = other146.epoch;
-  start_ms = other146.start_ms;
+seal_request::seal_request(seal_request&& other156) noexcept {
+  service_name = std::move(other156.service_name);
+  epoch = other156.epoch;
+  start_ms = other156.start_ms;
 }
-seal_request& seal_request::operator=(const seal_request& other147) {
-  service_name = other147.service_name;
-  epoch = other147.epoch;
-  start_ms = other147.start_ms;
+seal_request& seal_request::operator=(const seal_request& other157) {
+  service_name = other157.service_name;
+  epoch = other157.epoch;
+  start_ms = other157.start_ms;
   return *this;
 }
-seal_request& seal_request::operator=(seal_request&& other148) noexcept {
-  service_name = std::move(other148.service_name);
-  epoch = other148.epoch;
-  start_ms = other148.start_ms;
+seal_request& seal_request::operator=(seal_request&& other158) noexcept {
+  service_name = std::move(other158.service_name);
+  epoch = other158.epoch;
+  start_ms = other158.start_ms;
   return *this;
 }
 void seal_request::printTo(std::ostream& out) const {
@@ -4963,42 +5305,42 @@
   swap(a.boot, b.boot);
 }
 
-seal_answer::seal_answer(const seal_answer& other149) {
-  service_name = other149.service_name;
-  epoch = other149.epoch;
-  start_ms = other149.start_ms;
-  sealed = other149.sealed;
-  latest_accepted_ms = other149.latest_accepted_ms;
-  node = other149.node;
-  boot = other149.boot;
-}
-seal_answer::seal_answer(seal_answer&& other150) noexcept {
-  service_name = std::move(other150.service_name);
-  epoch = other150.epoch;
-  start_ms = other150.start_ms;
-  sealed = other150.sealed;
-  latest_accepted_ms = other150.latest_accepted_ms;
-  node = std::move(other150.node);
-  boot = other150.boot;
-}
-seal_answer& seal_answer::operator=(const seal_answer& other151) {
-  service_name = other151.service_name;
-  epoch = other151.epoch;
-  start_ms = other151.start_ms;
-  sealed = other151.sealed;
-  latest_accepted_ms = other151.latest_accepted_ms;
-  node = other151.node;
-  boot = other151.boot;
+seal_answer::seal_answer(const seal_answer& other159) {
+  service_name = other159.service_name;
+  epoch = other159.epoch;
+  start_ms = other159.start_ms;
+  sealed = other159.sealed;
+  latest_accepted_ms = other159.latest_accepted_ms;
+  node = other159.node;
+  boot = other159.boot;
+}
+seal_answer::seal_answer(seal_answer&& other160) noexcept {
+  service_name = std::move(other160.service_name);
+  epoch = other160.epoch;
+  start_ms = other160.start_ms;
+  sealed = other160.sealed;
+  latest_accepted_ms = other160.latest_accepted_ms;
+  node = std::move(other160.node);
+  boot = other160.boot;
+}
+seal_answer& seal_answer::operator=(const seal_answer& other161) {
+  service_name = other161.service_name;
+  epoch = other161.epoch;
+  start_ms = other161.start_ms;
+  sealed = other161.sealed;
+  latest_accepted_ms = other161.latest_accepted_ms;
+  node = other161.node;
+  boot = other161.boot;
   return *this;
 }
-seal_answer& seal_answer::operator=(seal_answer&& other152) noexcept {
-  service_name = std::move(other152.service_name);
-  epoch = other152.epoch;
-  start_ms = other152.start_ms;
-  sealed = other152.sealed;
-  latest_accepted_ms = other152.latest_accepted_ms;
-  node = std::move(other152.node);
-  boot = other152.boot;
+seal_answer& seal_answer::operator=(seal_answer&& other162) noexcept {
+  service_name = std::move(other162.service_name);
+  epoch = other162.epoch;
+  start_ms = other162.start_ms;
+  sealed = other162.sealed;
+  latest_accepted_ms = other162.latest_accepted_ms;
+  node = std::move(other162.node);
+  boot = other162.boot;
   return *this;
 }
 void seal_answer::printTo(std::ostream& out) const {
@@ -5320,70 +5662,70 @@
   swap(a.__isset, b.__isset);
 }
 
-frame::frame(const frame& other153) {
-  hello_message = other153.hello_message;
-  request = other153.request;
-  answer = other153.answer;
-  cancel = other153.cancel;
-  notice = other153.notice;
-  pull = other153.pull;
-  push = other153.push;
-  digest = other153.digest;
-  board_request = other153.board_request;
-  board = other153.board;
-  seal = other153.seal;
-  sealed = other153.sealed;
-  beat = other153.beat;
-  __isset = other153.__isset;
-}
-frame::frame(frame&& other154) noexcept {
-  hello_message = std::move(other154.hello_message);
-  request = std::move(other154.request);
-  answer = std::move(other154.answer);
-  cancel = std::move(other154.cancel);
-  notice = std::move(other154.notice);
-  pull = std::move(other154.pull);
-  push = std::move(other154.push);
-  digest = std::move(other154.digest);
-  board_request = std::move(other154.board_request);
-  board = std::move(other154.board);
-  seal = std::move(other154.seal);
-  sealed = std::move(other154.sealed);
-  beat = std::move(other154.beat);
-  __isset = other154.__isset;
-}
-frame& frame::operator=(const frame& other155) {
-  hello_message = other155.hello_message;
-  request = other155.request;
-  answer = other155.answer;
-  cancel = other155.cancel;
-  notice = other155.notice;
-  pull = other155.pull;
-  push = other155.push;
-  digest = other155.digest;
-  board_request = other155.board_request;
-  board = other155.board;
-  seal = other155.seal;
-  sealed = other155.sealed;
-  beat = other155.beat;
-  __isset = other155.__isset;
+frame::frame(const frame& other163) {
+  hello_message = other163.hello_message;
+  request = other163.request;
+  answer = other163.answer;
+  cancel = other163.cancel;
+  notice = other163.notice;
+  pull = other163.pull;
+  push = other163.push;
+  digest = other163.digest;
+  board_request = other163.board_request;
+  board = other163.board;
+  seal = other163.seal;
+  sealed = other163.sealed;
+  beat = other163.beat;
+  __isset = other163.__isset;
+}
+frame::frame(frame&& other164) noexcept {
+  hello_message = std::move(other164.hello_message);
+  request = std::move(other164.request);
+  answer = std::move(other164.answer);
+  cancel = std::move(other164.cancel);
+  notice = std::move(other164.notice);
+  pull = std::move(other164.pull);
+  push = std::move(other164.push);
+  digest = std::move(other164.digest);
+  board_request = std::move(other164.board_request);
+  board = std::move(other164.board);
+  seal = std::move(other164.seal);
+  sealed = std::move(other164.sealed);
+  beat = std::move(other164.beat);
+  __isset = other164.__isset;
+}
+frame& frame::operator=(const frame& other165) {
+  hello_message = other165.hello_message;
+  request = other165.request;
+  answer = other165.answer;
+  cancel = other165.cancel;
+  notice = other165.notice;
+  pull = other165.pull;
+  push = other165.push;
+  digest = other165.digest;
+  board_request = other165.board_request;
+  board = other165.board;
+  seal = other165.seal;
+  sealed = other165.sealed;
+  beat = other165.beat;
+  __isset = other165.__isset;
   return *this;
 }
-frame& frame::operator=(frame&& other156) noexcept {
-  hello_message = std::move(other156.hello_message);
-  request = std::move(other156.request);
-  answer = std::move(other156.answer);
-  cancel = std::move(other156.cancel);
-  notice = std::move(other156.notice);
-  pull = std::move(other156.pull);
-  push = std::move(other156.push);
-  digest = std::move(other156.digest);
-  board_request = std::move(other156.board_request);
-  board = std::move(other156.board);
-  seal = std::move(other156.seal);
-  sealed = std::move(other156.sealed);
-  beat = std::move(other156.beat);
-  __isset = other156.__isset;
+frame& frame::operator=(frame&& other166) noexcept {
+  hello_message = std::move(other166.hello_message);
+  request = std::move(other166.request);
+  answer = std::move(other166.answer);
+  cancel = std::move(other166.cancel);
+  notice = std::move(other166.notice);
+  pull = std::move(other166.pull);
+  push = std::move(other166.push);
+  digest = std::move(other166.digest);
+  board_request = std::move(other166.board_request);
+  board = std::move(other166.board);
+  seal = std::move(other166.seal);
+  sealed = std::move(other166.sealed);
+  beat = std::move(other166.beat);
+  __isset = other166.__isset;
   return *this;
 }
 void frame::printTo(std::ostream& out) const {
@@ -5507,9 +5849,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast157;
-          xfer += iprot->readI32(ecast157);
-          this->kind = static_cast<datagram_kind::type>(ecast157);
+          int32_t ecast167;
+          xfer += iprot->readI32(ecast167);
+          this->kind = static_cast<datagram_kind::type>(ecast167);
           isset_kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -5543,14 +5885,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->updates.clear();
-            uint32_t _size158;
-            ::apache::thrift::protocol::TType _etype161;
-            xfer += iprot->readListBegin(_etype161, _size158);
-            this->updates.resize(_size158);
-            uint32_t _i162;
-            for (_i162 = 0; _i162 < _size158; ++_i162)
+            uint32_t _size168;
+            ::apache::thrift::protocol::TType _etype171;
+            xfer += iprot->readListBegin(_etype171, _size168);
+            this->updates.resize(_size168);
+            uint32_t _i172;
+            for (_i172 = 0; _i172 < _size168; ++_i172)
             {
-              xfer += this->updates[_i162].read(iprot);
+              xfer += this->updates[_i172].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5563,14 +5905,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->spaces.clear();
-            uint32_t _size163;
-            ::apache::thrift::protocol::TType _etype166;
-            xfer += iprot->readListBegin(_etype166, _size163);
-            this->spaces.resize(_size163);
-            uint32_t _i167;
-            for (_i167 = 0; _i167 < _size163; ++_i167)
+            uint32_t _size173;
+            ::apache::thrift::protocol::TType _etype176;
+            xfer += iprot->readListBegin(_etype176, _size173);
+            this->spaces.resize(_size173);
+            uint32_t _i177;
+            for (_i177 = 0; _i177 < _size173; ++_i177)
             {
-              xfer += this->spaces[_i167].read(iprot);
+              xfer += this->spaces[_i177].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5583,14 +5925,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspicions.clear();
-            uint32_t _size168;
-            ::apache::thrift::protocol::TType _etype171;
-            xfer += iprot->readListBegin(_etype171, _size168);
-            this->suspicions.resize(_size168);
-            uint32_t _i172;
-            for (_i172 = 0; _i172 < _size168; ++_i172)
+            uint32_t _size178;
+            ::apache::thrift::protocol::TType _etype181;
+            xfer += iprot->readListBegin(_etype181, _size178);
+            this->suspicions.resize(_size178);
+            uint32_t _i182;
+            for (_i182 = 0; _i182 < _size178; ++_i182)
             {
-              xfer += this->suspicions[_i172].read(iprot);
+              xfer += this->suspicions[_i182].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5619,14 +5961,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->bucket_hashes.clear();
-            uint32_t _size173;
-            ::apache::thrift::protocol::TType _etype176;
-            xfer += iprot->readListBegin(_etype176, _size173);
-            this->bucket_hashes.resize(_size173);
-            uint32_t _i177;
-            for (_i177 = 0; _i177 < _size173; ++_i177)
+            uint32_t _size183;
+            ::apache::thrift::protocol::TType _etype186;
+            xfer += iprot->readListBegin(_etype186, _size183);
+            this->bucket_hashes.resize(_size183);
+            uint32_t _i187;
+            for (_i187 = 0; _i187 < _size183; ++_i187)
             {
-              xfer += iprot->readI64(this->bucket_hashes[_i177]);
+              xfer += iprot->readI64(this->bucket_hashes[_i187]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5707,10 +6049,10 @@
   xfer += oprot->writeFieldBegin("updates", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->updates.size()));
-    std::vector<peer_record> ::const_iterator _iter178;
-    for (_iter178 = this->updates.begin(); _iter178 != this->updates.end(); ++_iter178)
+    std::vector<peer_record> ::const_iterator _iter188;
+    for (_iter188 = this->updates.begin(); _iter188 != this->updates.end(); ++_iter188)
     {
-      xfer += (*_iter178).write(oprot);
+      xfer += (*_iter188).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5719,10 +6061,10 @@
   xfer += oprot->writeFieldBegin("spaces", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->spaces.size()));
-    std::vector<space_digest> ::const_iterator _iter179;
-    for (_iter179 = this->spaces.begin(); _iter179 != this->spaces.end(); ++_iter179)
+    std::vector<space_digest> ::const_iterator _iter189;
+    for (_iter189 = this->spaces.begin(); _iter189 != this->spaces.end(); ++_iter189)
     {
-      xfer += (*_iter179).write(oprot);
+      xfer += (*_iter189).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5731,10 +6073,10 @@
   xfer += oprot->writeFieldBegin("suspicions", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspicions.size()));
-    std::vector<suspicion_record> ::const_iterator _iter180;
-    for (_iter180 = this->suspicions.begin(); _iter180 != this->suspicions.end(); ++_iter180)
+    std::vector<suspicion_record> ::const_iterator _iter190;
+    for (_iter190 = this->suspicions.begin(); _iter190 != this->suspicions.end(); ++_iter190)
     {
-      xfer += (*_iter180).write(oprot);
+      xfer += (*_iter190).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5751,10 +6093,10 @@
   xfer += oprot->writeFieldBegin("bucket_hashes", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->bucket_hashes.size()));
-    std::vector<int64_t> ::const_iterator _iter181;
-    for (_iter181 = this->bucket_hashes.begin(); _iter181 != this->bucket_hashes.end(); ++_iter181)
+    std::vector<int64_t> ::const_iterator _iter191;
+    for (_iter191 = this->bucket_hashes.begin(); _iter191 != this->bucket_hashes.end(); ++_iter191)
     {
-      xfer += oprot->writeI64((*_iter181));
+      xfer += oprot->writeI64((*_iter191));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5785,62 +6127,62 @@
   swap(a.reply_wanted, b.reply_wanted);
 }
 
-gossip_datagram::gossip_datagram(const gossip_datagram& other182) {
-  protocol_version = other182.protocol_version;
-  kind = other182.kind;
-  sequence = other182.sequence;
-  sender = other182.sender;
-  target = other182.target;
-  updates = other182.updates;
-  spaces = other182.spaces;
-  suspicions = other182.suspicions;
-  table_hash = other182.table_hash;
-  book_hash = other182.book_hash;
-  bucket_hashes = other182.bucket_hashes;
-  reply_wanted = other182.reply_wanted;
-}
-gossip_datagram::gossip_datagram(gossip_datagram&& other183) noexcept {
-  protocol_version = other183.protocol_version;
-  kind = other183.kind;
-  sequence = other183.sequence;
-  sender = std::move(other183.sender);
-  target = std::move(other183.target);
-  updates = std::move(other183.updates);
-  spaces = std::move(other183.spaces);
-  suspicions = std::move(other183.suspicions);
-  table_hash = other183.table_hash;
-  book_hash = other183.book_hash;
-  bucket_hashes = std::move(other183.bucket_hashes);
-  reply_wanted = other183.reply_wanted;
-}
-gossip_datagram& gossip_datagram::operator=(const gossip_datagram& other184) {
-  protocol_version = other184.protocol_version;
-  kind = other184.kind;
-  sequence = other184.sequence;
-  sender = other184.sender;
-  target = other184.target;
-  updates = other184.updates;
-  spaces = other184.spaces;
-  suspicions = other184.suspicions;
-  table_hash = other184.table_hash;
-  book_hash = other184.book_hash;
-  bucket_hashes = other184.bucket_hashes;
-  reply_wanted = other184.reply_wanted;
+gossip_datagram::gossip_datagram(const gossip_datagram& other192) {
+  protocol_version = other192.protocol_version;
+  kind = other192.kind;
+  sequence = other192.sequence;
+  sender = other192.sender;
+  target = other192.target;
+  updates = other192.updates;
+  spaces = other192.spaces;
+  suspicions = other192.suspicions;
+  table_hash = other192.table_hash;
+  book_hash = other192.book_hash;
+  bucket_hashes = other192.bucket_hashes;
+  reply_wanted = other192.reply_wanted;
+}
+gossip_datagram::gossip_datagram(gossip_datagram&& other193) noexcept {
+  protocol_version = other193.protocol_version;
+  kind = other193.kind;
+  sequence = other193.sequence;
+  sender = std::move(other193.sender);
+  target = std::move(other193.target);
+  updates = std::move(other193.updates);
+  spaces = std::move(other193.spaces);
+  suspicions = std::move(other193.suspicions);
+  table_hash = other193.table_hash;
+  book_hash = other193.book_hash;
+  bucket_hashes = std::move(other193.bucket_hashes);
+  reply_wanted = other193.reply_wanted;
+}
+gossip_datagram& gossip_datagram::operator=(const gossip_datagram& other194) {
+  protocol_version = other194.protocol_version;
+  kind = other194.kind;
+  sequence = other194.sequence;
+  sender = other194.sender;
+  target = other194.target;
+  updates = other194.updates;
+  spaces = other194.spaces;
+  suspicions = other194.suspicions;
+  table_hash = other194.table_hash;
+  book_hash = other194.book_hash;
+  bucket_hashes = other194.bucket_hashes;
+  reply_wanted = other194.reply_wanted;
   return *this;
 }
-gossip_datagram& gossip_datagram::operator=(gossip_datagram&& other185) noexcept {
-  protocol_version = other185.protocol_version;
-  kind = other185.kind;
-  sequence = other185.sequence;
-  sender = std::move(other185.sender);
-  target = std::move(other185.target);
-  updates = std::move(other185.updates);
-  spaces = std::move(other185.spaces);
-  suspicions = std::move(other185.suspicions);
-  table_hash = other185.table_hash;
-  book_hash = other185.book_hash;
-  bucket_hashes = std::move(other185.bucket_hashes);
-  reply_wanted = other185.reply_wanted;
+gossip_datagram& gossip_datagram::operator=(gossip_datagram&& other195) noexcept {
+  protocol_version = other195.protocol_version;
+  kind = other195.kind;
+  sequence = other195.sequence;
+  sender = std::move(other195.sender);
+  target = std::move(other195.target);
+  updates = std::move(other195.updates);
+  spaces = std::move(other195.spaces);
+  suspicions = std::move(other195.suspicions);
+  table_hash = other195.table_hash;
+  book_hash = other195.book_hash;
+  bucket_hashes = std::move(other195.bucket_hashes);
+  reply_wanted = other195.reply_wanted;
   return *this;
 }
 void gossip_datagram::printTo(std::ostream& out) const {
--- a/src/gen/peer_types.h
+++ b/src/gen/peer_types.h
@@ -101,6 +101,8 @@
 
 class burn_part;
 
+class decision_line;
+
 class board_pull;
 
 class board_push;
@@ -1539,9 +1541,112 @@
 
 std::ostream& operator<<(std::ostream& out, const burn_part& obj);
 
+
+/**
+ * A decision on a recent request.
+ */
+class decision_line : public virtual ::apache::thrift::TBase {
+ public:
+
+  decision_line(const decision_line&);
+  decision_line(decision_line&&) noexcept;
+  decision_line& operator=(const decision_line&);
+  decision_line& operator=(decision_line&&) noexcept;
+  decision_line() noexcept
+                : at_ms(0),
+                  member(),
+                  service_name(),
+                  kind(),
+                  point(),
+                  outcome(),
+                  reason(),
+                  peer() {
+  }
+
+  virtual ~decision_line() noexcept;
+  /**
+   * Milliseconds since the Unix epoch, by the clock of the node.
+   */
+  int64_t at_ms;
+  /**
+   * Member that owns the request at its entry.
+   */
+  std::string member;
+  std::string service_name;
+  std::string kind;
+  /**
+   * Where it was taken: `entry`, `try`, `home` or `upstream`.
+   */
+  std::string point;
+  /**
+   * Outcome in its place: `completed`, `not_run` or `unknown`.
+   */
+  std::string outcome;
+  /**
+   * Reason of a refusal; empty without one.
+   */
+  std::string reason;
+  /**
+   * Node that a try was sent to; empty elsewhere.
+   */
+  std::string peer;
+
+  void __set_at_ms(const int64_t val);
+
+  void __set_member(const std::string& val);
+
+  void __set_service_name(const std::string& val);
+
+  void __set_kind(const std::string& val);
+
+  void __set_point(const std::string& val);
+
+  void __set_outcome(const std::string& val);
+
+  void __set_reason(const std::string& val);
+
+  void __set_peer(const std::string& val);
+
+  bool operator == (const decision_line & rhs) const
+  {
+    if (!(at_ms == rhs.at_ms))
+      return false;
+    if (!(member == rhs.member))
+      return false;
+    if (!(service_name == rhs.service_name))
+      return false;
+    if (!(kind == rhs.kind))
+      return false;
+    if (!(point == rhs.point))
+      return false;
+    if (!(outcome == rhs.outcome))
+      return false;
+    if (!(reason == rhs.reason))
+      return false;
+    if (!(peer == rhs.peer))
+      return false;
+    return true;
+  }
+  bool operator != (const decision_line &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const decision_line & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(decision_line &a, decision_line &b);
+
+std::ostream& operator<<(std::ostream& out, const decision_line& obj);
+
 typedef struct _board_pull__isset {
-  _board_pull__isset() : burn_member(false) {}
+  _board_pull__isset() : burn_member(false), trace_id(false) {}
   bool burn_member :1;
+  bool trace_id :1;
 } _board_pull__isset;
 
 class board_pull : public virtual ::apache::thrift::TBase {
@@ -1553,7 +1658,8 @@
   board_pull& operator=(board_pull&&) noexcept;
   board_pull() noexcept
              : request_id(0),
-               burn_member() {
+               burn_member(),
+               trace_id() {
   }
 
   virtual ~board_pull() noexcept;
@@ -1562,6 +1668,10 @@
    * Member whose ends are wanted too; absent for none.
    */
   std::string burn_member;
+  /**
+   * Trace id whose decisions are wanted too; absent for none.
+   */
+  std::string trace_id;
 
   _board_pull__isset __isset;
 
@@ -1569,6 +1679,8 @@
 
   void __set_burn_member(const std::string& val);
 
+  void __set_trace_id(const std::string& val);
+
   bool operator == (const board_pull & rhs) const
   {
     if (!(request_id == rhs.request_id))
@@ -1577,6 +1689,10 @@
       return false;
     else if (__isset.burn_member && !(burn_member == rhs.burn_member))
       return false;
+    if (__isset.trace_id != rhs.__isset.trace_id)
+      return false;
+    else if (__isset.trace_id && !(trace_id == rhs.trace_id))
+      return false;
     return true;
   }
   bool operator != (const board_pull &rhs) const {
@@ -1596,9 +1712,10 @@
 std::ostream& operator<<(std::ostream& out, const board_pull& obj);
 
 typedef struct _board_push__isset {
-  _board_push__isset() : burn(false), zone(false) {}
+  _board_push__isset() : burn(false), zone(false), decisions(false) {}
   bool burn :1;
   bool zone :1;
+  bool decisions :1;
 } _board_push__isset;
 
 class board_push : public virtual ::apache::thrift::TBase {
@@ -1626,6 +1743,10 @@
    */
   burn_part burn;
   std::string zone;
+  /**
+   * Decisions on the trace that was asked for, oldest first.
+   */
+  std::vector<decision_line>  decisions;
 
   _board_push__isset __isset;
 
@@ -1643,6 +1764,8 @@
 
   void __set_zone(const std::string& val);
 
+  void __set_decisions(const std::vector<decision_line> & val);
+
   bool operator == (const board_push & rhs) const
   {
     if (!(request_id == rhs.request_id))
@@ -1663,6 +1786,10 @@
       return false;
     else if (__isset.zone && !(zone == rhs.zone))
       return false;
+    if (__isset.decisions != rhs.__isset.decisions)
+      return false;
+    else if (__isset.decisions && !(decisions == rhs.decisions))
+      return false;
     return true;
   }
   bool operator != (const board_push &rhs) const {
--- a/src/gen/python/pollenhall_operator/operator_service.py
+++ b/src/gen/python/pollenhall_operator/operator_service.py
@@ -19,6 +19,23 @@
 
 
 class Iface(object):
+    """
+    The first call on a connection is `log_in`; all others are refused before.
+    A refusal names the right that is missing.
+
+    """
+    def log_in(self, name, key):
+        """
+        Logs in as `platform` or `MEMBER/OPERATOR`. The key is compared with its
+        stored hash. It crosses the network as it is; see docs/threat-model.md.
+
+        Parameters:
+         - name
+         - key
+
+        """
+        pass
+
     def check(self, documents):
         """
         Checks a folder of declarations; changes nothing.
@@ -101,14 +118,67 @@
         """
         pass
 
+    def explain(self, trace_id):
+        """
+        The decisions on a request of the last minutes, by its trace id (32
+        hexadecimal digits), as far as nodes still remember them.
+
+        Parameters:
+         - trace_id
+
+        """
+        pass
+
 
 class Client(Iface):
+    """
+    The first call on a connection is `log_in`; all others are refused before.
+    A refusal names the right that is missing.
+
+    """
     def __init__(self, iprot, oprot=None):
         self._iprot = self._oprot = iprot
         if oprot is not None:
             self._oprot = oprot
         self._seqid = 0
 
+    def log_in(self, name, key):
+        """
+        Logs in as `platform` or `MEMBER/OPERATOR`. The key is compared with its
+        stored hash. It crosses the network as it is; see docs/threat-model.md.
+
+        Parameters:
+         - name
+         - key
+
+        """
+        self.send_log_in(name, key)
+        self.recv_log_in()
+
+    def send_log_in(self, name, key):
+        self._oprot.writeMessageBegin('log_in', TMessageType.CALL, self._seqid)
+        args = log_in_args()
+        args.name = name
+        args.key = key
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_log_in(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = log_in_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.error is not None:
+            raise result.error
+        return
+
     def check(self, documents):
         """
         Checks a folder of declarations; changes nothing.
@@ -141,6 +211,8 @@
         iprot.readMessageEnd()
         if result.success is not None:
             return result.success
+        if result.error is not None:
+            raise result.error
         raise TApplicationException(TApplicationException.MISSING_RESULT, "check failed: unknown result")
 
     def diff(self, documents):
@@ -175,6 +247,8 @@
         iprot.readMessageEnd()
         if result.success is not None:
             return result.success
+        if result.error is not None:
+            raise result.error
         raise TApplicationException(TApplicationException.MISSING_RESULT, "diff failed: unknown result")
 
     def apply(self, request):
@@ -279,6 +353,8 @@
         iprot.readMessageEnd()
         if result.success is not None:
             return result.success
+        if result.error is not None:
+            raise result.error
         raise TApplicationException(TApplicationException.MISSING_RESULT, "status failed: unknown result")
 
     def drain(self):
@@ -413,11 +489,49 @@
             raise result.error
         raise TApplicationException(TApplicationException.MISSING_RESULT, "burn failed: unknown result")
 
+    def explain(self, trace_id):
+        """
+        The decisions on a request of the last minutes, by its trace id (32
+        hexadecimal digits), as far as nodes still remember them.
+
+        Parameters:
+         - trace_id
+
+        """
+        self.send_explain(trace_id)
+        return self.recv_explain()
+
+    def send_explain(self, trace_id):
+        self._oprot.writeMessageBegin('explain', TMessageType.CALL, self._seqid)
+        args = explain_args()
+        args.trace_id = trace_id
+        args.write(self._oprot)
+        self._oprot.writeMessageEnd()
+        self._oprot.trans.flush()
+
+    def recv_explain(self):
+        iprot = self._iprot
+        (fname, mtype, rseqid) = iprot.readMessageBegin()
+        if mtype == TMessageType.EXCEPTION:
+            x = TApplicationException()
+            x.read(iprot)
+            iprot.readMessageEnd()
+            raise x
+        result = explain_result()
+        result.read(iprot)
+        iprot.readMessageEnd()
+        if result.success is not None:
+            return result.success
+        if result.error is not None:
+            raise result.error
+        raise TApplicationException(TApplicationException.MISSING_RESULT, "explain failed: unknown result")
+
 
 class Processor(Iface, TProcessor):
     def __init__(self, handler):
         self._handler = handler
         self._processMap = {}
+        self._processMap["log_in"] = Processor.process_log_in
         self._processMap["check"] = Processor.process_check
         self._processMap["diff"] = Processor.process_diff
         self._processMap["apply"] = Processor.process_apply
@@ -427,6 +541,7 @@
         self._processMap["undrain"] = Processor.process_undrain
         self._processMap["report"] = Processor.process_report
         self._processMap["burn"] = Processor.process_burn
+        self._processMap["explain"] = Processor.process_explain
         self._on_message_begin = None
 
     def on_message_begin(self, func):
@@ -449,6 +564,32 @@
             self._processMap[name](self, seqid, iprot, oprot)
         return True
 
+    def process_log_in(self, seqid, iprot, oprot):
+        args = log_in_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = log_in_result()
+        try:
+            self._handler.log_in(args.name, args.key)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except operator_error as error:
+            msg_type = TMessageType.REPLY
+            result.error = error
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("log_in", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
     def process_check(self, seqid, iprot, oprot):
         args = check_args()
         args.read(iprot)
@@ -459,6 +600,9 @@
             msg_type = TMessageType.REPLY
         except TTransport.TTransportException:
             raise
+        except operator_error as error:
+            msg_type = TMessageType.REPLY
+            result.error = error
         except TApplicationException as ex:
             logging.exception('TApplication exception in handler')
             msg_type = TMessageType.EXCEPTION
@@ -482,6 +626,9 @@
             msg_type = TMessageType.REPLY
         except TTransport.TTransportException:
             raise
+        except operator_error as error:
+            msg_type = TMessageType.REPLY
+            result.error = error
         except TApplicationException as ex:
             logging.exception('TApplication exception in handler')
             msg_type = TMessageType.EXCEPTION
@@ -557,6 +704,9 @@
             msg_type = TMessageType.REPLY
         except TTransport.TTransportException:
             raise
+        except operator_error as error:
+            msg_type = TMessageType.REPLY
+            result.error = error
         except TApplicationException as ex:
             logging.exception('TApplication exception in handler')
             msg_type = TMessageType.EXCEPTION
@@ -674,9 +824,171 @@
         oprot.writeMessageEnd()
         oprot.trans.flush()
 
+    def process_explain(self, seqid, iprot, oprot):
+        args = explain_args()
+        args.read(iprot)
+        iprot.readMessageEnd()
+        result = explain_result()
+        try:
+            result.success = self._handler.explain(args.trace_id)
+            msg_type = TMessageType.REPLY
+        except TTransport.TTransportException:
+            raise
+        except operator_error as error:
+            msg_type = TMessageType.REPLY
+            result.error = error
+        except TApplicationException as ex:
+            logging.exception('TApplication exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = ex
+        except Exception:
+            logging.exception('Unexpected exception in handler')
+            msg_type = TMessageType.EXCEPTION
+            result = TApplicationException(TApplicationException.INTERNAL_ERROR, 'Internal error')
+        oprot.writeMessageBegin("explain", msg_type, seqid)
+        result.write(oprot)
+        oprot.writeMessageEnd()
+        oprot.trans.flush()
+
 # HELPER FUNCTIONS AND STRUCTURES
 
 
+class log_in_args(object):
+    """
+    Attributes:
+     - name
+     - key
+
+    """
+
+
+    def __init__(self, name=None, key=None,):
+        self.name = name
+        self.key = key
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('log_in_args')
+        if self.name is not None:
+            oprot.writeFieldBegin('name', TType.STRING, 1)
+            oprot.writeString(self.name.encode('utf-8') if sys.version_info[0] == 2 else self.name)
+            oprot.writeFieldEnd()
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.STRING, 2)
+            oprot.writeString(self.key.encode('utf-8') if sys.version_info[0] == 2 else self.key)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(log_in_args)
+log_in_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'name', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'key', 'UTF8', None, ),  # 2
+)
+
+
+class log_in_result(object):
+    """
+    Attributes:
+     - error
+
+    """
+
+
+    def __init__(self, error=None,):
+        self.error = error
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.error = operator_error.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('log_in_result')
+        if self.error is not None:
+            oprot.writeFieldBegin('error', TType.STRUCT, 1)
+            self.error.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(log_in_result)
+log_in_result.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'error', [operator_error, None], None, ),  # 1
+)
+
+
 class check_args(object):
     """
     Attributes:
@@ -700,11 +1012,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.documents = []
-                    (_etype130, _size127) = iprot.readListBegin()
-                    for _i131 in range(_size127):
-                        _elem132 = document()
-                        _elem132.read(iprot)
-                        self.documents.append(_elem132)
+                    (_etype137, _size134) = iprot.readListBegin()
+                    for _i138 in range(_size134):
+                        _elem139 = document()
+                        _elem139.read(iprot)
+                        self.documents.append(_elem139)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -721,8 +1033,8 @@
         if self.documents is not None:
             oprot.writeFieldBegin('documents', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.documents))
-            for iter133 in self.documents:
-                iter133.write(oprot)
+            for iter140 in self.documents:
+                iter140.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -752,12 +1064,14 @@
     """
     Attributes:
      - success
+     - error
 
     """
 
 
-    def __init__(self, success=None,):
+    def __init__(self, success=None, error=None,):
         self.success = success
+        self.error = error
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -774,6 +1088,11 @@
                     self.success.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 1:
+                if ftype == TType.STRUCT:
+                    self.error = operator_error.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -788,6 +1107,10 @@
             oprot.writeFieldBegin('success', TType.STRUCT, 0)
             self.success.write(oprot)
             oprot.writeFieldEnd()
+        if self.error is not None:
+            oprot.writeFieldBegin('error', TType.STRUCT, 1)
+            self.error.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -807,6 +1130,7 @@
 all_structs.append(check_result)
 check_result.thrift_spec = (
     (0, TType.STRUCT, 'success', [check_reply, None], None, ),  # 0
+    (1, TType.STRUCT, 'error', [operator_error, None], None, ),  # 1
 )
 
 
@@ -833,11 +1157,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.documents = []
-                    (_etype137, _size134) = iprot.readListBegin()
-                    for _i138 in range(_size134):
-                        _elem139 = document()
-                        _elem139.read(iprot)
-                        self.documents.append(_elem139)
+                    (_etype144, _size141) = iprot.readListBegin()
+                    for _i145 in range(_size141):
+                        _elem146 = document()
+                        _elem146.read(iprot)
+                        self.documents.append(_elem146)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -854,8 +1178,8 @@
         if self.documents is not None:
             oprot.writeFieldBegin('documents', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.documents))
-            for iter140 in self.documents:
-                iter140.write(oprot)
+            for iter147 in self.documents:
+                iter147.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -885,12 +1209,14 @@
     """
     Attributes:
      - success
+     - error
 
     """
 
 
-    def __init__(self, success=None,):
+    def __init__(self, success=None, error=None,):
         self.success = success
+        self.error = error
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -907,6 +1233,11 @@
                     self.success.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 1:
+                if ftype == TType.STRUCT:
+                    self.error = operator_error.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -921,6 +1252,10 @@
             oprot.writeFieldBegin('success', TType.STRUCT, 0)
             self.success.write(oprot)
             oprot.writeFieldEnd()
+        if self.error is not None:
+            oprot.writeFieldBegin('error', TType.STRUCT, 1)
+            self.error.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -940,6 +1275,7 @@
 all_structs.append(diff_result)
 diff_result.thrift_spec = (
     (0, TType.STRUCT, 'success', [diff_reply, None], None, ),  # 0
+    (1, TType.STRUCT, 'error', [operator_error, None], None, ),  # 1
 )
 
 
@@ -1275,12 +1611,14 @@
     """
     Attributes:
      - success
+     - error
 
     """
 
 
-    def __init__(self, success=None,):
+    def __init__(self, success=None, error=None,):
         self.success = success
+        self.error = error
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1297,6 +1635,11 @@
                     self.success.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 1:
+                if ftype == TType.STRUCT:
+                    self.error = operator_error.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1311,6 +1654,10 @@
             oprot.writeFieldBegin('success', TType.STRUCT, 0)
             self.success.write(oprot)
             oprot.writeFieldEnd()
+        if self.error is not None:
+            oprot.writeFieldBegin('error', TType.STRUCT, 1)
+            self.error.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1330,6 +1677,7 @@
 all_structs.append(status_result)
 status_result.thrift_spec = (
     (0, TType.STRUCT, 'success', [status_reply, None], None, ),  # 0
+    (1, TType.STRUCT, 'error', [operator_error, None], None, ),  # 1
 )
 
 
@@ -1813,5 +2161,141 @@
     (0, TType.STRUCT, 'success', [burn_reply, None], None, ),  # 0
     (1, TType.STRUCT, 'error', [operator_error, None], None, ),  # 1
 )
+
+
+class explain_args(object):
+    """
+    Attributes:
+     - trace_id
+
+    """
+
+
+    def __init__(self, trace_id=None,):
+        self.trace_id = trace_id
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.trace_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('explain_args')
+        if self.trace_id is not None:
+            oprot.writeFieldBegin('trace_id', TType.STRING, 1)
+            oprot.writeString(self.trace_id.encode('utf-8') if sys.version_info[0] == 2 else self.trace_id)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(explain_args)
+explain_args.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'trace_id', 'UTF8', None, ),  # 1
+)
+
+
+class explain_result(object):
+    """
+    Attributes:
+     - success
+     - error
+
+    """
+
+
+    def __init__(self, success=None, error=None,):
+        self.success = success
+        self.error = error
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 0:
+                if ftype == TType.STRUCT:
+                    self.success = explain_reply()
+                    self.success.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 1:
+                if ftype == TType.STRUCT:
+                    self.error = operator_error.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('explain_result')
+        if self.success is not None:
+            oprot.writeFieldBegin('success', TType.STRUCT, 0)
+            self.success.write(oprot)
+            oprot.writeFieldEnd()
+        if self.error is not None:
+            oprot.writeFieldBegin('error', TType.STRUCT, 1)
+            self.error.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+all_structs.append(explain_result)
+explain_result.thrift_spec = (
+    (0, TType.STRUCT, 'success', [explain_reply, None], None, ),  # 0
+    (1, TType.STRUCT, 'error', [operator_error, None], None, ),  # 1
+)
 fix_spec(all_structs)
 del all_structs
--- a/src/gen/python/pollenhall_operator/ttypes.py
+++ b/src/gen/python/pollenhall_operator/ttypes.py
@@ -2192,6 +2192,265 @@
         return not (self == other)
 
 
+class decision(object):
+    """
+    A decision on a recent request; see `explain`.
+
+    Attributes:
+     - at_ms: Milliseconds since the Unix epoch, by the clock of the node.
+     - node
+     - zone
+     - service_name
+     - kind
+     - point: Where it was taken: `entry`, `try`, `home` or `upstream`.
+     - outcome: Outcome in its place: `completed`, `not_run` or `unknown`.
+     - reason: Reason of a refusal; empty without one.
+     - peer: Node that a try was sent to; empty elsewhere.
+
+    """
+
+
+    def __init__(self, at_ms=None, node=None, zone=None, service_name=None, kind=None, point=None, outcome=None, reason=None, peer=None,):
+        self.at_ms = at_ms
+        self.node = node
+        self.zone = zone
+        self.service_name = service_name
+        self.kind = kind
+        self.point = point
+        self.outcome = outcome
+        self.reason = reason
+        self.peer = peer
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.at_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.node = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.zone = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.kind = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.point = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRING:
+                    self.outcome = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.STRING:
+                    self.reason = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.STRING:
+                    self.peer = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('decision')
+        if self.at_ms is not None:
+            oprot.writeFieldBegin('at_ms', TType.I64, 1)
+            oprot.writeI64(self.at_ms)
+            oprot.writeFieldEnd()
+        if self.node is not None:
+            oprot.writeFieldBegin('node', TType.STRING, 2)
+            oprot.writeString(self.node.encode('utf-8') if sys.version_info[0] == 2 else self.node)
+            oprot.writeFieldEnd()
+        if self.zone is not None:
+            oprot.writeFieldBegin('zone', TType.STRING, 3)
+            oprot.writeString(self.zone.encode('utf-8') if sys.version_info[0] == 2 else self.zone)
+            oprot.writeFieldEnd()
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 4)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.kind is not None:
+            oprot.writeFieldBegin('kind', TType.STRING, 5)
+            oprot.writeString(self.kind.encode('utf-8') if sys.version_info[0] == 2 else self.kind)
+            oprot.writeFieldEnd()
+        if self.point is not None:
+            oprot.writeFieldBegin('point', TType.STRING, 6)
+            oprot.writeString(self.point.encode('utf-8') if sys.version_info[0] == 2 else self.point)
+            oprot.writeFieldEnd()
+        if self.outcome is not None:
+            oprot.writeFieldBegin('outcome', TType.STRING, 7)
+            oprot.writeString(self.outcome.encode('utf-8') if sys.version_info[0] == 2 else self.outcome)
+            oprot.writeFieldEnd()
+        if self.reason is not None:
+            oprot.writeFieldBegin('reason', TType.STRING, 8)
+            oprot.writeString(self.reason.encode('utf-8') if sys.version_info[0] == 2 else self.reason)
+            oprot.writeFieldEnd()
+        if self.peer is not None:
+            oprot.writeFieldBegin('peer', TType.STRING, 9)
+            oprot.writeString(self.peer.encode('utf-8') if sys.version_info[0] == 2 else self.peer)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.at_ms is None:
+            raise TProtocolException(message='Required field at_ms is unset!')
+        if self.node is None:
+            raise TProtocolException(message='Required field node is unset!')
+        if self.zone is None:
+            raise TProtocolException(message='Required field zone is unset!')
+        if self.service_name is None:
+            raise TProtocolException(message='Required field service_name is unset!')
+        if self.kind is None:
+            raise TProtocolException(message='Required field kind is unset!')
+        if self.point is None:
+            raise TProtocolException(message='Required field point is unset!')
+        if self.outcome is None:
+            raise TProtocolException(message='Required field outcome is unset!')
+        if self.reason is None:
+            raise TProtocolException(message='Required field reason is unset!')
+        if self.peer is None:
+            raise TProtocolException(message='Required field peer is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class explain_reply(object):
+    """
+    Attributes:
+     - decisions: In order of time.
+     - nodes_heard
+     - nodes_known
+
+    """
+
+
+    def __init__(self, decisions=None, nodes_heard=None, nodes_known=None,):
+        self.decisions = decisions
+        self.nodes_heard = nodes_heard
+        self.nodes_known = nodes_known
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.decisions = []
+                    (_etype130, _size127) = iprot.readListBegin()
+                    for _i131 in range(_size127):
+                        _elem132 = decision()
+                        _elem132.read(iprot)
+                        self.decisions.append(_elem132)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.nodes_heard = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.nodes_known = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('explain_reply')
+        if self.decisions is not None:
+            oprot.writeFieldBegin('decisions', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.decisions))
+            for iter133 in self.decisions:
+                iter133.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.nodes_heard is not None:
+            oprot.writeFieldBegin('nodes_heard', TType.I32, 2)
+            oprot.writeI32(self.nodes_heard)
+            oprot.writeFieldEnd()
+        if self.nodes_known is not None:
+            oprot.writeFieldBegin('nodes_known', TType.I32, 3)
+            oprot.writeI32(self.nodes_known)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.decisions is None:
+            raise TProtocolException(message='Required field decisions is unset!')
+        if self.nodes_heard is None:
+            raise TProtocolException(message='Required field nodes_heard is unset!')
+        if self.nodes_known is None:
+            raise TProtocolException(message='Required field nodes_known is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class operator_error(TException):
     """
     The call was refused; `message` says why.
@@ -2425,6 +2684,26 @@
     (10, TType.I64, 'kept_while_shedding', None, None, ),  # 10
     (11, TType.I64, 'left_out', None, None, ),  # 11
 )
+all_structs.append(decision)
+decision.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'at_ms', None, None, ),  # 1
+    (2, TType.STRING, 'node', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'zone', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'service_name', 'UTF8', None, ),  # 4
+    (5, TType.STRING, 'kind', 'UTF8', None, ),  # 5
+    (6, TType.STRING, 'point', 'UTF8', None, ),  # 6
+    (7, TType.STRING, 'outcome', 'UTF8', None, ),  # 7
+    (8, TType.STRING, 'reason', 'UTF8', None, ),  # 8
+    (9, TType.STRING, 'peer', 'UTF8', None, ),  # 9
+)
+all_structs.append(explain_reply)
+explain_reply.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'decisions', (TType.STRUCT, [decision, None], False), None, ),  # 1
+    (2, TType.I32, 'nodes_heard', None, None, ),  # 2
+    (3, TType.I32, 'nodes_known', None, None, ),  # 3
+)
 all_structs.append(operator_error)
 operator_error.thrift_spec = (
     None,  # 0
--- a/src/include/pollenhall/burn_history.hpp
+++ b/src/include/pollenhall/burn_history.hpp
@@ -28,6 +28,8 @@
     /// The only good one.
     in_time,
     late,
+    /// The upstream answered in time that it failed: HTTP status 500 or more.
+    failed,
     shed,
     deadline,
     retries_exhausted,
@@ -40,13 +42,14 @@
 };
 
 /// Number of ways to end.
-inline constexpr std::size_t request_end_count = 9;
+inline constexpr std::size_t request_end_count = 10;
 
 /// The name used in reports, such as `retries_exhausted`.
 std::string_view to_string(request_end value);
 
-/// Judges an end. `reason` is the refusal, if there was one.
-request_end judge_end(outcome what, std::optional<refusal> reason,
+/// Judges an end. `reason` is the refusal, if there was one; `status` is the
+/// HTTP status of a completed answer.
+request_end judge_end(outcome what, std::optional<refusal> reason, int status,
                       bool in_time);
 
 /// Requests by the way they ended.
--- a/src/include/pollenhall/declarations.hpp
+++ b/src/include/pollenhall/declarations.hpp
@@ -5,6 +5,7 @@
 
 #include <pollenhall/findings.hpp>
 #include <pollenhall/ids.hpp>
+#include <pollenhall/operator_rights.hpp>
 
 #include <compare>
 #include <map>
@@ -92,6 +93,8 @@
     std::string title;
     std::vector<zone_declaration> zones;
     std::vector<service_declaration> services;
+    /// Who may act for the member.
+    std::vector<operator_grant> operators;
 };
 
 /// One file of a folder of declarations.
--- a/src/include/pollenhall/io/node_settings.hpp
+++ b/src/include/pollenhall/io/node_settings.hpp
@@ -57,6 +57,8 @@
     /// One-way time to other zones.
     microseconds zone_trip{1'000};
     policy_mode policy = policy_mode::full;
+    /// Hash of the key of the platform's own operators.
+    std::string platform_key_hash;
 };
 
 /// Parses settings; faults are added to `findings` under `path`.
--- a/src/include/pollenhall/io/wire_codec.hpp
+++ b/src/include/pollenhall/io/wire_codec.hpp
@@ -5,6 +5,7 @@
 
 #include <pollenhall/board.hpp>
 #include <pollenhall/burn_history.hpp>
+#include <pollenhall/decision_log.hpp>
 #include <pollenhall/document_book.hpp>
 #include <pollenhall/home_roster.hpp>
 #include <pollenhall/io/calls.hpp>
@@ -59,6 +60,12 @@
 wire::burn_part to_wire(burn_history const& history, member_name const& member,
                         wall_time now);
 burn_summary from_wire(wire::burn_part const& part, member_name const& member);
+
+std::vector<wire::decision_line>
+to_wire(std::vector<decision_record> const& records);
+/// The trace id is not part of the lines and stays empty.
+std::vector<decision_record>
+from_wire(std::vector<wire::decision_line> const& lines);
 wire::space_digest to_wire(space_digest const& digest);
 space_digest from_wire(wire::space_digest const& digest);
 
--- a/src/include/pollenhall/trace_context.hpp
+++ b/src/include/pollenhall/trace_context.hpp
@@ -40,6 +40,9 @@
 /// Makes a trace id from 128 random bits.
 std::string make_trace_id(std::uint64_t high, std::uint64_t low);
 
+/// Whether a text is 32 lower-case hex digits.
+bool is_trace_id(std::string_view text);
+
 /// Number of cohorts that requests of one class are divided into.
 inline constexpr int cohort_count = 128;
 
--- a/src/include/pollenhall/value_reader.hpp
+++ b/src/include/pollenhall/value_reader.hpp
@@ -59,6 +59,8 @@
     /// A name of 1 to 63 lower-case letters, digits and hyphens; a finding
     /// is added if it is absent.
     std::string required_name(std::string_view name);
+    /// The hash of an operator's key; a finding is added if it is absent.
+    std::string key_hash(std::string_view name);
     /// Position of the value in `choices`.
     std::size_t choice(std::string_view name,
                        std::span<std::string_view const> choices,
--- a/src/libpollenhall/burn_history.cpp
+++ b/src/libpollenhall/burn_history.cpp
@@ -10,8 +10,8 @@
 {
 
 constexpr std::array<std::string_view, request_end_count> end_names{
-    "in_time", "late",        "shed",        "deadline",  "retries_exhausted",
-    "unknown", "quarantined", "unavailable", "not_judged"};
+    "in_time",           "late",    "failed",      "shed",        "deadline",
+    "retries_exhausted", "unknown", "quarantined", "unavailable", "not_judged"};
 constexpr std::array<std::string_view, all_burn_windows.size()> window_names{
     "5m", "30m", "1h", "6h"};
 constexpr std::array<int, all_burn_windows.size()> window_minutes{5, 30, 60,
@@ -82,12 +82,17 @@
     return window_minutes.at(static_cast<std::size_t>(window));
 }
 
-request_end judge_end(outcome what, std::optional<refusal> reason, bool in_time)
+request_end judge_end(outcome what, std::optional<refusal> reason, int status,
+                      bool in_time)
 {
+    constexpr int first_failure_status = 500;
     switch (what)
     {
     case outcome::completed:
-        return in_time ? request_end::in_time : request_end::late;
+        if (!in_time)
+            return request_end::late;
+        return status >= first_failure_status ? request_end::failed
+                                              : request_end::in_time;
     case outcome::not_run:
         return judge_refusal(reason);
     case outcome::unknown:
--- a/src/libpollenhall/burn_history_test.cpp
+++ b/src/libpollenhall/burn_history_test.cpp
@@ -43,7 +43,7 @@
 
     SUBCASE("counts in each window that still covers the minute")
     {
-        auto const now = at_second(10 * 60);
+        auto const now = at_second(600);
         CHECK(
             in_window(history, orders, burn_window::minutes_5, now).judged() ==
             0);
@@ -52,9 +52,9 @@
             1);
         CHECK(in_window(history, lookups, burn_window::hours_6, now).bad() ==
               1);
-        CHECK(in_window(history, orders, burn_window::hours_6,
-                        at_second(6 * 3'600))
-                  .judged() == 0);
+        CHECK(
+            in_window(history, orders, burn_window::hours_6, at_second(21'600))
+                .judged() == 0);
     }
     SUBCASE("tells which important work was kept while lower work was shed")
     {
@@ -79,14 +79,15 @@
 
 TEST_CASE("an end is judged by what the caller got")
 {
-    CHECK(judge_end(outcome::completed, {}, true) == request_end::in_time);
-    CHECK(judge_end(outcome::completed, {}, false) == request_end::late);
-    CHECK(judge_end(outcome::unknown, {}, true) == request_end::unknown);
-    CHECK(judge_end(outcome::not_run, refusal::shed, true) ==
+    CHECK(judge_end(outcome::completed, {}, 200, true) == request_end::in_time);
+    CHECK(judge_end(outcome::completed, {}, 502, true) == request_end::failed);
+    CHECK(judge_end(outcome::completed, {}, 200, false) == request_end::late);
+    CHECK(judge_end(outcome::unknown, {}, 0, true) == request_end::unknown);
+    CHECK(judge_end(outcome::not_run, refusal::shed, 0, true) ==
           request_end::shed);
-    CHECK(judge_end(outcome::not_run, refusal::home_gone, true) ==
+    CHECK(judge_end(outcome::not_run, refusal::home_gone, 0, true) ==
           request_end::unavailable);
-    CHECK(judge_end(outcome::not_run, refusal::cancelled, true) ==
+    CHECK(judge_end(outcome::not_run, refusal::cancelled, 0, true) ==
           request_end::not_judged);
 }
 
--- a/src/libpollenhall/declarations.cpp
+++ b/src/libpollenhall/declarations.cpp
@@ -46,6 +46,8 @@
     void parse_member_section(std::string_view path,
                               ini_section const& section);
     void parse_zone_section(std::string_view path, ini_section const& section);
+    void parse_operator_section(std::string_view path,
+                                ini_section const& section);
     void parse_service_file(ini_document const& document);
     void parse_service_section(std::string_view path,
                                ini_section const& section,
@@ -146,9 +148,11 @@
         }
         else if (!named_section(section.name, "zone").empty())
             parse_zone_section(document.path(), section);
+        else if (!named_section(section.name, "operator").empty())
+            parse_operator_section(document.path(), section);
         else
             report_unknown_section(*findings_, document.path(), section,
-                                   "[member] and [zone NAME]");
+                                   "[member], [zone NAME] and [operator NAME]");
     }
     if (!has_member && !document.sections().empty())
         findings_->add(document.path(), 0, "section [member] is missing");
@@ -180,6 +184,32 @@
     member_.zones.push_back(std::move(zone));
 }
 
+void folder_parser::parse_operator_section(std::string_view path,
+                                           ini_section const& section)
+{
+    auto const name = named_section(section.name, "operator");
+    if (!is_valid_name(name))
+        findings_->add(path, section.line,
+                       "operator name '" + std::string(name) +
+                           "' is not made of 1 to 63 lower-case letters, "
+                           "digits and hyphens");
+    value_reader reader(path, section, *findings_);
+    operator_grant grant;
+    grant.name = name;
+    grant.key_hash = reader.key_hash("key-hash");
+    for (auto const& item : reader.list("rights"))
+    {
+        if (auto const right = parse_operator_right(item))
+            grant.rights.insert(*right);
+        else
+            reader.report("rights", "right '" + item +
+                                        "' is unknown; allowed are read, "
+                                        "change and operate");
+    }
+    reader.report_unknown();
+    member_.operators.push_back(std::move(grant));
+}
+
 void folder_parser::parse_service_file(ini_document const& document)
 {
     service_declaration service;
--- a/src/libpollenhall/trace_context.cpp
+++ b/src/libpollenhall/trace_context.cpp
@@ -92,6 +92,11 @@
     return std::string(state_key) + to_hex(static_cast<std::uint64_t>(hop));
 }
 
+bool is_trace_id(std::string_view text)
+{
+    return text.size() == trace_id_size && is_lower_hex(text);
+}
+
 std::string make_trace_id(std::uint64_t high, std::uint64_t low)
 {
     // All zero is not a valid trace id.
--- a/src/libpollenhall/value_reader.cpp
+++ b/src/libpollenhall/value_reader.cpp
@@ -2,6 +2,8 @@
 
 #include <pollenhall/value_reader.hpp>
 
+#include <pollenhall/operator_rights.hpp>
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -197,6 +199,18 @@
     return std::string(fallback);
 }
 
+std::string value_reader::key_hash(std::string_view name)
+{
+    auto const* const entry = find(name);
+    if (entry != nullptr && is_key_hash(entry->value))
+        return entry->value;
+    report(name, std::string(name) + " is " +
+                     (entry == nullptr ? "missing" : quoted(entry->value)) +
+                     "; allowed are 64 hexadecimal digits as pollenctl "
+                     "new-key prints them");
+    return {};
+}
+
 std::string value_reader::required_name(std::string_view name)
 {
     auto const* const entry = find(name);
--- a/src/libpollenhall_io/http_server_test.cpp
+++ b/src/libpollenhall_io/http_server_test.cpp
@@ -30,8 +30,9 @@
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         address.sin_port = htons(static_cast<std::uint16_t>(port));
-        connect(socket_, reinterpret_cast<sockaddr*>(&address),
-                sizeof(address));
+        // It goes on by itself; `is_established` tells how it ended.
+        static_cast<void>(connect(
+            socket_, reinterpret_cast<sockaddr*>(&address), sizeof(address)));
     }
     pending_connection(pending_connection&& other) noexcept
         : socket_(std::exchange(other.socket_, -1))
--- a/src/libpollenhall_io/node_settings.cpp
+++ b/src/libpollenhall_io/node_settings.cpp
@@ -132,6 +132,11 @@
         static_cast<policy_mode>(reader.choice("mode", policy_names, 0));
 }
 
+void read_operators(value_reader& reader, node_settings& settings)
+{
+    settings.platform_key_hash = reader.key_hash("key-hash");
+}
+
 struct section_rule
 {
     std::string_view name;
@@ -147,6 +152,7 @@
     section_rule{"upstream", &read_upstream, false},
     section_rule{"stop", &read_stop, false},
     section_rule{"policy", &read_policy, false},
+    section_rule{"operators", &read_operators, true},
 };
 
 void read_section(std::string_view path, ini_section const& section,
--- a/src/libpollenhall_io/wire_codec.cpp
+++ b/src/libpollenhall_io/wire_codec.cpp
@@ -504,6 +504,48 @@
     return summary;
 }
 
+std::vector<wire::decision_line>
+to_wire(std::vector<decision_record> const& records)
+{
+    std::vector<wire::decision_line> lines;
+    lines.reserve(records.size());
+    for (auto const& record : records)
+    {
+        wire::decision_line line;
+        line.at_ms = record.at.time_since_epoch().count();
+        line.member = record.member.value();
+        line.service_name = record.kind.service.value();
+        line.kind = record.kind.kind.value();
+        line.point = to_string(record.point);
+        line.outcome = to_string(record.what);
+        line.reason =
+            record.reason ? std::string(to_string(*record.reason)) : "";
+        line.peer = record.peer.value();
+        lines.push_back(std::move(line));
+    }
+    return lines;
+}
+
+std::vector<decision_record>
+from_wire(std::vector<wire::decision_line> const& lines)
+{
+    std::vector<decision_record> records;
+    records.reserve(lines.size());
+    for (auto const& line : lines)
+        records.push_back(
+            {.at = wall_time(milliseconds(line.at_ms)),
+             .trace_id = {},
+             .member = member_name(line.member),
+             .kind = {.service = service_name(line.service_name),
+                      .kind = kind_name(line.kind)},
+             .point = parse_decision_point(line.point)
+                          .value_or(decision_point::entry),
+             .what = parse_outcome(line.outcome).value_or(outcome::unknown),
+             .reason = parse_refusal(line.reason),
+             .peer = node_id(line.peer)});
+    return records;
+}
+
 wire::space_digest to_wire(space_digest const& digest)
 {
     wire::space_digest result;
--- a/src/libpollenhall_io/wire_codec_test.cpp
+++ b/src/libpollenhall_io/wire_codec_test.cpp
@@ -162,7 +162,9 @@
     std::string const good = "[node]\nname = a\nzone = z\n"
                              "address = 127.0.0.1\ncaller-port = 1\n"
                              "peer-port = 2\noperator-port = 3\n"
-                             "[store]\naddress = 127.0.0.1:2379\n";
+                             "[store]\naddress = 127.0.0.1:2379\n"
+                             "[operators]\nkey-hash = " +
+                             std::string(key_hash_digits, 'a') + "\n";
     finding_list findings;
 
     SUBCASE("are read")
@@ -178,7 +180,8 @@
                        "[node]\nname = A\nzone = z\naddress = here\n"
                        "caller-port = 99999\n[peers]\nseeds = x\n[extra]\n",
                        findings);
-        // Name, address, three ports, seed, section, missing [store].
-        CHECK(findings.items().size() == 8);
+        // Name, address, three ports, seed, section, missing [store] and
+        // [operators].
+        CHECK(findings.items().size() == 9);
     }
 }
--- a/src/pollenctl/burn_format.cpp
+++ b/src/pollenctl/burn_format.cpp
@@ -107,7 +107,7 @@
     std::vector<std::pair<std::int64_t, std::string>> reasons;
     for (auto const& [name, count] : ends)
     {
-        if (count > 0 && name != "in_time")
+        if (count > 0 && name != "in_time" && name != "not_judged")
             reasons.emplace_back(-count, name);
     }
     std::sort(reasons.begin(), reasons.end());
--- a/src/pollenctl/burn_page.cpp
+++ b/src/pollenctl/burn_page.cpp
@@ -16,16 +16,11 @@
 // Sizes of a plot in units of the SVG's own coordinates.
 constexpr double plot_width = 720;
 constexpr double plot_height = 180;
-constexpr double plot_left = 48;
-constexpr double plot_bottom = 24;
-constexpr double bar_height = 22;
-constexpr double bar_label_width = 170;
-
 constexpr std::string_view page_style = R"(
 :root{--ink:#1b1f24;--soft:#5b6470;--line:#d6dae0;--good:#1f6f5c;--bad:#b3402a;
 --load:#8a94a3}
 body{font:15px/1.5 system-ui,sans-serif;color:var(--ink);background:#fff;
-max-width:60rem;margin:0 auto;padding:1.5rem}
+max-width:76rem;margin:0 auto;padding:1.5rem}
 h1{font-size:1.5rem;margin:0}h2{font-size:1.1rem;margin:2rem 0 .5rem}
 p{margin:.3rem 0;color:var(--soft)}
 .scroll{overflow-x:auto}
@@ -35,8 +30,15 @@
 th{font-weight:600;color:var(--soft);font-size:.85rem}
 th:first-child,td:first-child,.t{text-align:left}
 td.over{color:var(--bad);font-weight:600}
-svg{width:100%;height:auto;display:block}
-svg text{font:12px system-ui,sans-serif;fill:var(--soft)}
+td.t:last-child{white-space:normal;min-width:14rem}
+svg{width:100%;display:block}
+.plot svg{height:12rem}
+.axis{display:flex;justify-content:space-between;color:var(--soft);
+font-size:.8rem}
+.bars{display:grid;grid-template-columns:max-content 1fr max-content;
+gap:.2rem .6rem;align-items:center;font-size:.85rem;
+font-variant-numeric:tabular-nums}
+.bars svg{height:.9rem}
 .key i{display:inline-block;width:1.4em;height:.2em;vertical-align:middle;
 margin:0 .4em 0 1em}
 @media print{body{max-width:none;padding:0}h2{break-after:avoid}
@@ -84,8 +86,7 @@
     {
         auto const span =
             static_cast<double>(std::max<std::int64_t>(last_ - first_, 1));
-        return plot_left + (plot_width - plot_left) *
-                               static_cast<double>(second - first_) / span;
+        return plot_width * static_cast<double>(second - first_) / span;
     }
     [[nodiscard]] double y(std::int64_t count) const
     {
@@ -105,7 +106,7 @@
                 std::string_view color)
 {
     out << "<polyline fill='none' stroke='" << color
-        << "' stroke-width='1.5' points='";
+        << "' stroke-width='1.5' vector-effect='non-scaling-stroke' points='";
     std::int64_t previous = seconds.front().second;
     for (auto const& item : seconds)
     {
@@ -131,23 +132,23 @@
     out << "<p class=key><i style='background:var(--load)'></i>ended"
            "<i style='background:var(--good)'></i>in time"
            "<i style='background:var(--bad)'></i>shed</p>\n"
-        << "<svg role=img aria-label='Requests a second' viewBox='0 0 "
-        << plot_width << " " << plot_height + plot_bottom << "'>"
-        << "<line x1='" << plot_left << "' x2='" << plot_width << "' y1='"
-        << plot_height << "' y2='" << plot_height << "' stroke='var(--line)'/>"
-        << "<text x='" << plot_left - 6 << "' y='12' text-anchor='end'>"
-        << scale.most() << "</text><text x='" << plot_left - 6 << "' y='"
-        << plot_height << "' text-anchor='end'>0</text>";
+           "<div class=plot><div class=axis><span>"
+        << scale.most()
+        << "</span></div><svg role=img aria-label='Requests a second' "
+           "preserveAspectRatio=none viewBox='0 0 "
+        << plot_width << " " << plot_height << "'><line x1='0' x2='"
+        << plot_width << "' y1='" << plot_height << "' y2='" << plot_height
+        << "' stroke='var(--line)'/>";
     write_line(out, reply.seconds, scale, &rpc::burn_second::ended,
                "var(--load)");
     write_line(out, reply.seconds, scale, &rpc::burn_second::in_time,
                "var(--good)");
     write_line(out, reply.seconds, scale, &rpc::burn_second::shed,
                "var(--bad)");
-    out << "<text x='" << plot_left << "' y='" << plot_height + 18 << "'>"
-        << format_time(reply.seconds.front().second) << "</text><text x='"
-        << plot_width << "' y='" << plot_height + 18 << "' text-anchor='end'>"
-        << format_time(reply.seconds.back().second) << " UTC</text></svg>\n";
+    out << "</svg><div class=axis><span>"
+        << format_time(reply.seconds.front().second) << "</span><span>"
+        << format_time(reply.seconds.back().second)
+        << " UTC</span></div></div>\n";
 }
 
 /// One bar with its label and value.
@@ -164,24 +165,14 @@
     double most = 1;
     for (auto const& bar : bars)
         most = std::max(most, bar.value);
-    auto const room = plot_width - bar_label_width - 60;
-    out << "<svg role=img aria-label='" << name << "' viewBox='0 0 "
-        << plot_width << " " << bar_height * static_cast<double>(bars.size())
-        << "'>";
-    double top = 0;
+    out << "<div class=bars role=group aria-label='" << name << "'>";
     for (auto const& bar : bars)
-    {
-        auto const width = room * std::max(bar.value, 0.0) / most;
-        out << "<text x='" << bar_label_width - 8 << "' y='" << top + 15
-            << "' text-anchor='end'>" << escape(bar.label) << "</text><rect x='"
-            << bar_label_width << "' y='" << top + 4 << "' width='" << width
-            << "' height='14' fill='"
-            << (bar.value > 1 ? "var(--bad)" : "var(--good)") << "'/><text x='"
-            << bar_label_width + width + 6 << "' y='" << top + 15 << "'>"
-            << bar.text << "</text>";
-        top += bar_height;
-    }
-    out << "</svg>\n";
+        out << "<span>" << escape(bar.label)
+            << "</span><svg preserveAspectRatio=none viewBox='0 0 " << most
+            << " 1'><rect height='1' width='" << std::max(bar.value, 0.0)
+            << "' fill='" << (bar.value > 1 ? "var(--bad)" : "var(--good)")
+            << "'/></svg><span>" << bar.text << "</span>";
+    out << "</div>\n";
 }
 
 void write_burn_bars(std::ostream& out, rpc::burn_reply const& reply)
--- a/src/pollenctl/commands.cpp
+++ b/src/pollenctl/commands.cpp
@@ -165,7 +165,7 @@
     auto const documents = read_documents(arguments, findings);
     if (!findings.empty())
         return report_findings(arguments, findings.items());
-    operator_connection node(arguments.node);
+    operator_connection node(arguments.node, read_login(arguments.key_file));
     rpc::diff_reply reply;
     node->diff(reply, documents);
     if (!reply.findings.empty())
@@ -259,7 +259,7 @@
     request.apply_id =
         arguments.apply_id.empty() ? make_apply_id() : arguments.apply_id;
     request.actor = arguments.actor;
-    operator_connection node(arguments.node);
+    operator_connection node(arguments.node, read_login(arguments.key_file));
     rpc::apply_reply reply;
     node->apply(reply, request);
     return report_apply(arguments, reply, request.apply_id);
@@ -272,7 +272,7 @@
         std::cerr << "pollenctl: settle needs --member and --apply-id\n";
         return exit_code::usage;
     }
-    operator_connection node(arguments.node);
+    operator_connection node(arguments.node, read_login(arguments.key_file));
     rpc::apply_reply reply;
     node->settle(reply, arguments.member, arguments.apply_id);
     return report_apply(arguments, reply, arguments.apply_id);
@@ -322,7 +322,7 @@
 
 int run_status(command_arguments const& arguments)
 {
-    operator_connection node(arguments.node);
+    operator_connection node(arguments.node, read_login(arguments.key_file));
     rpc::status_reply reply;
     node->status(reply);
     if (!arguments.wants_json())
@@ -345,7 +345,7 @@
 
 int run_drain(command_arguments const& arguments)
 {
-    operator_connection node(arguments.node);
+    operator_connection node(arguments.node, read_login(arguments.key_file));
     if (arguments.undo)
         node->undrain();
     else
@@ -397,7 +397,7 @@
 
 int report_burn(command_arguments const& arguments)
 {
-    operator_connection node(arguments.node);
+    operator_connection node(arguments.node, read_login(arguments.key_file));
     rpc::burn_reply reply;
     node->burn(reply, arguments.member);
     if (arguments.format == "json")
@@ -424,7 +424,7 @@
                      "'report burn' as text, json or html\n";
         return exit_code::usage;
     }
-    operator_connection node(arguments.node);
+    operator_connection node(arguments.node, read_login(arguments.key_file));
     rpc::report_reply reply;
     node->report(reply, arguments.member);
     if (!arguments.wants_json())
@@ -444,6 +444,79 @@
     return exit_code::done;
 }
 
+void print_decisions_text(rpc::explain_reply const& reply)
+{
+    std::cout << reply.decisions.size() << " decisions, " << reply.nodes_heard
+              << " of " << reply.nodes_known << " nodes heard\n";
+    if (reply.decisions.empty())
+    {
+        std::cout << "no node remembers the request; each keeps its last few "
+                     "thousand decisions\n";
+        return;
+    }
+    auto const start = reply.decisions.front().at_ms;
+    for (auto const& line : reply.decisions)
+    {
+        std::cout << std::right << std::setw(7) << line.at_ms - start << " ms  "
+                  << std::left << std::setw(24) << line.node << std::setw(10)
+                  << line.point << std::setw(24)
+                  << line.service_name + "/" + line.kind << line.outcome;
+        if (!line.reason.empty())
+            std::cout << ": " << line.reason;
+        if (!line.peer.empty())
+            std::cout << " (sent to " << line.peer << ")";
+        std::cout << "\n";
+    }
+}
+
+int run_explain(command_arguments const& arguments)
+{
+    if (arguments.positional.empty())
+    {
+        std::cerr << "pollenctl: explain needs a trace id, as the header "
+                     "Pollenhall-Trace-Id gives it\n";
+        return exit_code::usage;
+    }
+    operator_connection node(arguments.node, read_login(arguments.key_file));
+    rpc::explain_reply reply;
+    node->explain(reply, arguments.positional);
+    if (!arguments.wants_json())
+    {
+        print_decisions_text(reply);
+        return exit_code::done;
+    }
+    json decisions = json::array();
+    for (auto const& line : reply.decisions)
+        decisions.push_back({{"at_ms", line.at_ms},
+                             {"node", line.node},
+                             {"zone", line.zone},
+                             {"service", line.service_name},
+                             {"kind", line.kind},
+                             {"point", line.point},
+                             {"outcome", line.outcome},
+                             {"reason", line.reason},
+                             {"peer", line.peer}});
+    std::cout << json{{"decisions", decisions},
+                      {"nodes_heard", reply.nodes_heard},
+                      {"nodes_known", reply.nodes_known}}
+                     .dump(2)
+              << "\n";
+    return exit_code::done;
+}
+
+int run_new_key(command_arguments const& arguments)
+{
+    if (arguments.positional.empty() || arguments.key_file.empty())
+    {
+        std::cerr << "pollenctl: new-key needs the operator's name, platform "
+                     "or MEMBER/OPERATOR, and --key-file for the new file\n";
+        return exit_code::usage;
+    }
+    auto const hash = write_new_login(arguments.key_file, arguments.positional);
+    std::cout << "key-hash = " << hash << "\n";
+    return exit_code::done;
+}
+
 // Turns the exceptions of a connection into messages and exit codes.
 template <int (*Run)(command_arguments const&)>
 int with_messages(command_arguments const& arguments)
@@ -492,6 +565,12 @@
     command{"report", "report [burn] --member NAME",
             "Shows the member's board, or how fast its error budgets burn.",
             &with_messages<run_report>},
+    command{"explain", "explain TRACE_ID",
+            "Shows the decisions on a recent request along its chain.",
+            &with_messages<run_explain>},
+    command{"new-key", "new-key NAME --key-file NEW_FILE",
+            "Makes an operator's key and prints the hash to declare.",
+            &with_messages<run_new_key>},
 };
 
 } // namespace
--- a/src/pollenctl/commands.hpp
+++ b/src/pollenctl/commands.hpp
@@ -31,6 +31,7 @@
     std::string apply_id;
     std::string actor;
     std::string member;
+    std::string key_file;
     bool undo = false;
 
     [[nodiscard]] bool wants_json() const { return format == "json"; }
--- a/src/pollenctl/main.cpp
+++ b/src/pollenctl/main.cpp
@@ -43,6 +43,8 @@
         "apply: who applies, for the record");
     add("member,m", po::value(&arguments.member),
         "report, settle: name of the member");
+    add("key-file,k", po::value(&arguments.key_file),
+        "file with the operator's name and key; not needed by check");
     add("undo", po::bool_switch(&arguments.undo),
         "drain: let the upstream take work again");
     add("help,h", "show this help");
--- a/src/pollenctl/operator_connection.cpp
+++ b/src/pollenctl/operator_connection.cpp
@@ -18,7 +18,8 @@
 constexpr int call_timeout_ms = 10'000;
 } // namespace
 
-operator_connection::operator_connection(std::string const& node)
+operator_connection::operator_connection(std::string const& node,
+                                         operator_login const& login)
 {
     using apache::thrift::protocol::TBinaryProtocol;
     using apache::thrift::transport::TBufferedTransport;
@@ -36,6 +37,7 @@
     transport->open();
     client_ = std::make_unique<rpc::operator_serviceClient>(
         std::make_shared<TBinaryProtocol>(transport));
+    client_->log_in(login.name, login.key);
 }
 
 } // namespace pollenhall
