--- a/src/pollenctl/operator_connection.hpp
+++ b/src/pollenctl/operator_connection.hpp
@@ -2,6 +2,8 @@
 
 #pragma once
 
+#include "operator_login.hpp"
+
 #include <operator_service.h>
 
 #include <memory>
@@ -10,12 +12,12 @@
 namespace pollenhall
 {
 
-/// Connects on construction; throws Thrift's exceptions.
+/// Connects and logs in on construction; throws Thrift's exceptions.
 class operator_connection
 {
 public:
     /// `node` is IP:PORT; std::invalid_argument if it is malformed.
-    explicit operator_connection(std::string const& node);
+    operator_connection(std::string const& node, operator_login const& login);
 
     rpc::operator_serviceClient* operator->() { return client_.get(); }
 
--- a/src/pollenhalld/call_entry.cpp
+++ b/src/pollenhalld/call_entry.cpp
@@ -26,6 +26,16 @@
     return fingerprint(combine_hashes(route, hash_text(request.body)));
 }
 
+// What a decision on the call is remembered with.
+forwarded_call head_of(forwarded_call const& call)
+{
+    forwarded_call head;
+    head.trace_id = call.trace_id;
+    head.kind = call.kind;
+    head.member = call.member;
+    return head;
+}
+
 caller_answer make_fault(int status, std::string text)
 {
     caller_answer answer;
@@ -152,6 +162,7 @@
     if (!kind.repeatable)
         call.key = std::move(request.key);
     open.deadline = call.deadline;
+    open.member = call.member;
     if (!open.parent)
         ++core_.counts.row({.member = open.owner, .kind = open.kind}).offered;
     bool const key_needs_home = call.key.has_value();
@@ -242,6 +253,11 @@
         }
     }
     count_end_of(open, result, retries);
+    forwarded_call ended;
+    ended.trace_id = open.trace_id;
+    ended.kind = open.kind;
+    ended.member = open.member;
+    core_.note_decision(decision_point::entry, ended, result);
     caller_answer answer;
     answer.result = std::move(result);
     answer.trace_id = open.trace_id;
@@ -257,8 +273,10 @@
         return;
     bool const in_time = mono_now() <= open.deadline;
     count_end(row, result.what, result.reason, in_time);
-    core_.ends.note({.member = open.owner, .kind = open.kind}, open.level,
-                    judge_end(result.what, result.reason, in_time), wall_now());
+    core_.ends.note(
+        {.member = open.owner, .kind = open.kind}, open.level,
+        judge_end(result.what, result.reason, result.status, in_time),
+        wall_now());
 }
 
 void call_entry::cancel(std::uint64_t number)
@@ -323,11 +341,13 @@
         auto const now = mono_now();
         state.routes.on_finish(node, now, now - started, result);
     };
-    auto observed = [&state, node = *node, note_end,
+    auto observed = [this, &state, node = *node, note_end,
+                     noted_call = head_of(call),
                      handler = std::move(handler)](call_result result)
     {
         auto const now = mono_now();
         note_end(to_route_result(result));
+        core_.note_decision(decision_point::attempt, noted_call, result, node);
         if (result.load.limit > 0)
             state.routes.on_hint(node, result.load, now);
         handler(std::move(result));
@@ -416,7 +436,13 @@
     };
     if (call.key && !call.delegated)
     {
-        home_.run(std::move(call), std::move(with_load));
+        auto noted = [this, head = head_of(call),
+                      handler = std::move(with_load)](call_result result)
+        {
+            core_.note_decision(decision_point::home, head, result);
+            handler(std::move(result));
+        };
+        home_.run(std::move(call), std::move(noted));
         return [] {};
     }
     if (core_.guard.refuses(call.content, 2, mono_now()))
--- a/src/pollenhalld/call_entry.hpp
+++ b/src/pollenhalld/call_entry.hpp
@@ -81,6 +81,8 @@
         std::string trace_id;
         kind_ref kind;
         member_name owner;
+        // Owner of the whole request at its entry.
+        member_name member;
         mono_time deadline{};
         // Set for a call made by the upstream beside this node.
         std::optional<hop_id> parent;
--- a/src/pollenhalld/control_plane.cpp
+++ b/src/pollenhalld/control_plane.cpp
@@ -415,7 +415,7 @@
 }
 
 platform_answers control_plane::ask_all_nodes(milliseconds patience,
-                                              std::optional<member_name> member)
+                                              query_subject subject)
 {
     std::promise<platform_answers> promise;
     auto future = promise.get_future();
@@ -433,8 +433,11 @@
                    wire::frame frame;
                    frame.__set_board_request({});
                    frame.board_request.request_id = id;
-                   if (member)
-                       frame.board_request.__set_burn_member(member->value());
+                   if (subject.burn_member)
+                       frame.board_request.__set_burn_member(
+                           subject.burn_member->value());
+                   if (!subject.trace_id.empty())
+                       frame.board_request.__set_trace_id(subject.trace_id);
                    for (auto const& node : endpoints)
                    {
                        if (!is_gone(node.life))
@@ -446,11 +449,12 @@
 
 void control_plane::answer_board(link_id link, wire::board_pull const& request)
 {
-    std::optional<member_name> member;
+    query_subject subject;
     if (request.__isset.burn_member)
-        member = member_name(request.burn_member);
+        subject.burn_member = member_name(request.burn_member);
+    subject.trace_id = request.trace_id;
     traffic_->snapshot(
-        std::move(member),
+        std::move(subject),
         [this, link, id = request.request_id](traffic_snapshot const& snapshot)
         {
             auto const view = view_.get();
@@ -460,6 +464,7 @@
             frame.board.__set_zone(settings_.zone.value());
             if (snapshot.burn)
                 frame.board.__set_burn(*snapshot.burn);
+            frame.board.__set_decisions(to_wire(snapshot.decisions));
             frame.board.node = settings_.name.value();
             frame.board.boot = view->self.boot.value();
             frame.board.rows = to_wire(snapshot.counts);
@@ -476,6 +481,7 @@
     answer.boot = boot_id(push.boot);
     answer.zone = zone_name(push.zone);
     answer.burn = from_wire(push.burn, member_name());
+    answer.decisions = from_wire(push.decisions);
     answer.counts = from_wire(push.rows);
     for (auto const& digest : push.in_force)
         answer.in_force.push_back(from_wire(digest));
--- a/src/pollenhalld/control_plane.hpp
+++ b/src/pollenhalld/control_plane.hpp
@@ -117,10 +117,9 @@
     apply_report settle(member_name const& member, std::string const& apply_id);
     /// A space as it is in force here. Blocks.
     space_update in_force(std::string space);
-    /// Asks all nodes, for the ends of `member` too if one is given; blocks
-    /// until they answered or `patience` is over.
+    /// Asks all nodes; blocks until they answered or `patience` is over.
     platform_answers ask_all_nodes(milliseconds patience,
-                                   std::optional<member_name> member = {});
+                                   query_subject subject = {});
     /// Blocks.
     control_snapshot snapshot();
 
--- a/src/pollenhalld/local_runner.cpp
+++ b/src/pollenhalld/local_runner.cpp
@@ -267,6 +267,7 @@
 void local_runner::note_place(forwarded_call const& call,
                               call_result const& result, mono_time now)
 {
+    core_.note_decision(decision_point::upstream, call, result);
     auto const view = core_.view.get();
     auto const* const service = view->declarations->find(call.kind.service);
     if (service == nullptr)
@@ -275,7 +276,8 @@
                      .kind = call.kind,
                      .place = burn_place::upstream},
                     call.level,
-                    judge_end(result.what, result.reason, now <= call.deadline),
+                    judge_end(result.what, result.reason, result.status,
+                              now <= call.deadline),
                     wall_now());
 }
 
--- a/src/pollenhalld/node_queries.hpp
+++ b/src/pollenhalld/node_queries.hpp
@@ -5,6 +5,7 @@
 
 #include <pollenhall/board.hpp>
 #include <pollenhall/burn_history.hpp>
+#include <pollenhall/decision_log.hpp>
 #include <pollenhall/membership.hpp>
 
 #include <asio/io_context.hpp>
@@ -28,6 +29,8 @@
     board counts;
     /// Empty if no member was asked for.
     burn_summary burn;
+    /// Decisions on the trace that was asked for.
+    std::vector<decision_record> decisions;
     std::vector<space_digest> in_force;
 };
 
--- a/src/pollenhalld/operator_server.cpp
+++ b/src/pollenhalld/operator_server.cpp
@@ -3,8 +3,10 @@
 #include "operator_server.hpp"
 
 #include "burn_report.hpp"
+#include "operator_access.hpp"
 
 #include <pollenhall/io/log_event.hpp>
+#include <pollenhall/trace_context.hpp>
 #include <pollenhall/version.hpp>
 
 #include <operator_service.h>
@@ -30,6 +32,8 @@
 
 constexpr milliseconds query_patience{800};
 constexpr int max_concurrent_operators = 16;
+// A connection that says nothing for so long makes room for another.
+constexpr milliseconds idle_timeout{10'000};
 constexpr std::size_t max_actor_bytes = 128;
 constexpr std::size_t max_apply_id_bytes = 64;
 
@@ -163,19 +167,47 @@
     return line;
 }
 
-// Serves the calls; used by several threads at once.
+rpc::decision to_rpc(decision_record const& record, node_answer const& answer)
+{
+    rpc::decision line;
+    line.at_ms = record.at.time_since_epoch().count();
+    line.node = answer.node.value();
+    line.zone = answer.zone.value();
+    line.service_name = record.kind.service.value();
+    line.kind = record.kind.kind.value();
+    line.point = to_string(record.point);
+    line.outcome = to_string(record.what);
+    line.reason = record.reason ? std::string(to_string(*record.reason)) : "";
+    line.peer = record.peer.value();
+    return line;
+}
+
+void require_ok(absl::Status const& status)
+{
+    if (!status.ok())
+        throw_error(std::string(status.message()));
+}
+
+// Serves the calls of one connection.
 class operator_handler : public rpc::operator_serviceIf
 {
 public:
     operator_handler(node_settings const& settings, node_charts const& charts,
                      control_plane& control, view_holder const& view)
-        : settings_(settings), charts_(charts), control_(control), view_(view)
+        : settings_(settings), charts_(charts), control_(control), view_(view),
+          access_(settings.platform_key_hash, view)
+    {
+    }
+
+    void log_in(std::string const& name, std::string const& key) override
     {
+        require_ok(access_.log_in(name, key));
     }
 
     void check(rpc::check_reply& reply,
                std::vector<rpc::document> const& documents) override
     {
+        require_ok(access_.require_log_in("check"));
         reply.findings = to_rpc(control_.check(from_rpc(documents)).second);
     }
 
@@ -183,7 +215,9 @@
               std::vector<rpc::document> const& documents) override
     {
         auto const files = from_rpc(documents);
+        require_ok(access_.require_log_in("diff"));
         auto const [member, findings] = control_.check(files);
+        require_ok(access_.require(operator_right::read, member, "diff"));
         reply.member = member.value();
         reply.findings = to_rpc(findings);
         reply.base_generation = 0;
@@ -200,6 +234,7 @@
     void apply(rpc::apply_reply& reply,
                rpc::apply_request const& request) override
     {
+        require_ok(access_.require_log_in("apply"));
         if (request.apply_id.empty() ||
             request.apply_id.size() > max_apply_id_bytes)
             throw_error("apply_id must have 1 to 64 bytes");
@@ -211,11 +246,14 @@
                           .actor = request.actor};
         if (request.base_generation >= 0)
             order.base = generation(request.base_generation);
+        auto const member = control_.check(order.documents).first;
+        require_ok(access_.require(operator_right::change, member, "apply"));
         auto const report = control_.apply(std::move(order));
         reply = to_rpc(report);
         log_event("apply")
             .add("member", report.member.value())
             .add("apply_id", request.apply_id)
+            .add("operator", access_.identity()->name)
             .add("actor", request.actor)
             .add("result", rpc::_apply_result_VALUES_TO_NAMES.at(
                                static_cast<int>(reply.result)))
@@ -225,37 +263,48 @@
     void settle(rpc::apply_reply& reply, std::string const& member,
                 std::string const& apply_id) override
     {
+        require_ok(access_.require(operator_right::change, member_name(member),
+                                   "settle"));
         reply = to_rpc(control_.settle(member_name(member), apply_id));
     }
 
     void status(rpc::status_reply& reply) override
     {
+        require_ok(access_.require_log_in("status"));
         auto const own = control_.snapshot();
         auto const all = control_.ask_all_nodes(query_patience);
         reply.node = settings_.name.value();
         reply.version = program_version;
         reply.store_reachable = own.store_reachable;
         for (auto const& digest : view_.get()->spaces)
-            reply.generations[digest.space] = digest.newest.value();
+        {
+            if (may_read_space(digest.space))
+                reply.generations[digest.space] = digest.newest.value();
+        }
         for (auto const& peer : all.nodes)
-            reply.nodes.push_back(describe_node(peer, all));
+        {
+            if (may_read_service(peer.service))
+                reply.nodes.push_back(describe_node(peer, all));
+        }
     }
 
     void drain() override
     {
+        require_operate("drain");
         if (!control_.fire_upstream_event("drain"))
             throw_error("the upstream's state does not allow draining");
     }
 
     void undrain() override
     {
+        require_operate("undrain");
         if (!control_.fire_upstream_event("undrain"))
             throw_error("the upstream is not draining");
     }
 
     void report(rpc::report_reply& reply, std::string const& member) override
     {
-        require_member(member);
+        require_readable(member, "report");
         auto const all = control_.ask_all_nodes(query_patience);
         board sum;
         for (auto const& answer : all.answers)
@@ -272,17 +321,83 @@
 
     void burn(rpc::burn_reply& reply, std::string const& member) override
     {
-        require_member(member);
-        auto const answers =
-            control_.ask_all_nodes(query_patience, member_name(member));
+        require_readable(member, "burn");
+        auto const answers = control_.ask_all_nodes(
+            query_patience,
+            {.burn_member = member_name(member), .trace_id = {}});
         reply = make_burn_reply(member_name(member), *view_.get()->declarations,
                                 answers, wall_now());
     }
 
+    void explain(rpc::explain_reply& reply,
+                 std::string const& trace_id) override
+    {
+        require_ok(access_.require_log_in("explain"));
+        if (!is_trace_id(trace_id))
+            throw_error("a trace id has 32 lower-case hexadecimal digits");
+        auto const all = control_.ask_all_nodes(
+            query_patience, {.burn_member = {}, .trace_id = trace_id});
+        reply.nodes_heard = static_cast<int>(all.answers.size());
+        reply.nodes_known = count_known(all);
+        for (auto const& answer : all.answers)
+            add_decisions(reply, answer);
+        std::stable_sort(reply.decisions.begin(), reply.decisions.end(),
+                         [](auto const& left, auto const& right)
+                         { return left.at_ms < right.at_ms; });
+    }
+
 private:
-    // Refuses a member that is not declared.
-    void require_member(std::string const& member) const
+    // Leaves out requests of members whose data the operator may not read.
+    void add_decisions(rpc::explain_reply& reply,
+                       node_answer const& answer) const
+    {
+        auto const who = access_.identity();
+        for (auto const& record : answer.decisions)
+        {
+            if (who && who->may(operator_right::read, record.member))
+                reply.decisions.push_back(to_rpc(record, answer));
+        }
+    }
+
+    // Whether the operator may see a service's nodes and rosters.
+    [[nodiscard]] bool may_read_service(service_name const& service) const
+    {
+        auto const view = view_.get();
+        auto const* const declared = view->declarations->find(service);
+        auto const who = access_.identity();
+        return who &&
+               who->may(operator_right::read,
+                        declared == nullptr ? member_name() : declared->owner);
+    }
+
+    [[nodiscard]] bool may_read_space(std::string const& space) const
+    {
+        if (space.starts_with(roster_space_prefix))
+            return may_read_service(
+                service_name(space.substr(roster_space_prefix.size())));
+        auto const who = access_.identity();
+        return who &&
+               who->may(operator_right::read,
+                        member_name(space.substr(member_space_prefix.size())));
+    }
+
+    // The upstream beside this node belongs to the member of its service.
+    void require_operate(std::string_view call) const
+    {
+        auto const view = view_.get();
+        auto const* const service =
+            view->declarations->find(view->self.service);
+        require_ok(access_.require(
+            operator_right::operate,
+            service == nullptr ? member_name() : service->owner, call));
+    }
+
+    // Refuses an operator without the right, and a member not declared.
+    void require_readable(std::string const& member,
+                          std::string_view call) const
     {
+        require_ok(
+            access_.require(operator_right::read, member_name(member), call));
         auto const view = view_.get();
         auto const& members = view->declarations->members();
         bool const known = std::any_of(members.begin(), members.end(),
@@ -317,6 +432,37 @@
     node_charts const& charts_;
     control_plane& control_;
     view_holder const& view_;
+    operator_access access_;
+};
+
+// Makes a handler for each connection, as each logs in for itself.
+class handler_factory : public rpc::operator_serviceIfFactory
+{
+public:
+    handler_factory(node_settings const& settings, node_charts const& charts,
+                    control_plane& control, view_holder const& view)
+        : settings_(settings), charts_(charts), control_(control), view_(view)
+    {
+    }
+
+    rpc::operator_serviceIf*
+    getHandler(apache::thrift::TConnectionInfo const&) override
+    {
+        return std::make_unique<operator_handler>(settings_, charts_, control_,
+                                                  view_)
+            .release();
+    }
+
+    void releaseHandler(rpc::operator_serviceIf* handler) override
+    {
+        std::unique_ptr<rpc::operator_serviceIf> const owned(handler);
+    }
+
+private:
+    node_settings const& settings_;
+    node_charts const& charts_;
+    control_plane& control_;
+    view_holder const& view_;
 };
 
 } // namespace
@@ -328,13 +474,15 @@
                    control_plane& control, view_holder const& view)
         : socket_(std::make_shared<TServerSocket>(settings.address,
                                                   settings.operator_port)),
-          server_(std::make_shared<rpc::operator_serviceProcessor>(
-                      std::make_shared<operator_handler>(settings, charts,
-                                                         control, view)),
+          server_(std::make_shared<rpc::operator_serviceProcessorFactory>(
+                      std::make_shared<handler_factory>(settings, charts,
+                                                        control, view)),
                   socket_, std::make_shared<TBufferedTransportFactory>(),
                   std::make_shared<TBinaryProtocolFactory>())
     {
         server_.setConcurrentClientLimit(max_concurrent_operators);
+        socket_->setRecvTimeout(static_cast<int>(idle_timeout.count()));
+        socket_->setSendTimeout(static_cast<int>(idle_timeout.count()));
     }
 
     absl::Status start()
--- a/src/pollenhalld/traffic_core.hpp
+++ b/src/pollenhalld/traffic_core.hpp
@@ -8,6 +8,7 @@
 #include <pollenhall/board.hpp>
 #include <pollenhall/burn_history.hpp>
 #include <pollenhall/crash_guard.hpp>
+#include <pollenhall/decision_log.hpp>
 #include <pollenhall/hop_registry.hpp>
 #include <pollenhall/io/clocks.hpp>
 #include <pollenhall/io/node_settings.hpp>
@@ -42,6 +43,7 @@
     crash_guard guard;
     board counts;
     burn_history ends;
+    decision_log decisions;
     std::mt19937_64 random;
     /// Set once before the thread starts.
     std::unique_ptr<peer_links> links;
@@ -50,6 +52,20 @@
     /// Tells the control thread that the upstream cannot be reached.
     std::function<void()> report_unreachable;
 
+    /// Remembers a decision on a call.
+    void note_decision(decision_point point, forwarded_call const& call,
+                       call_result const& result, node_id peer = {})
+    {
+        decisions.add({.at = wall_now(),
+                       .trace_id = call.trace_id,
+                       .member = call.member,
+                       .kind = call.kind,
+                       .point = point,
+                       .what = result.what,
+                       .reason = result.reason,
+                       .peer = std::move(peer)});
+    }
+
     [[nodiscard]] bool has_policy() const
     {
         return settings.policy == policy_mode::full;
--- a/src/pollenhalld/traffic_plane.cpp
+++ b/src/pollenhalld/traffic_plane.cpp
@@ -155,20 +155,25 @@
                { core_.links->reply_to_all(frame); });
 }
 
-void traffic_plane::snapshot(std::optional<member_name> member,
+void traffic_plane::snapshot(query_subject subject,
                              std::function<void(traffic_snapshot)> handler)
 {
-    asio::post(context_,
-               [this, member = std::move(member), handler = std::move(handler)]
-               {
-                   std::optional<wire::burn_part> burn;
-                   if (member)
-                       burn = to_wire(core_.ends, *member, wall_now());
-                   handler({.counts = core_.counts,
-                            .burn = std::move(burn),
-                            .load = entry_->runner().load(),
-                            .links = core_.links->counters()});
-               });
+    asio::post(
+        context_,
+        [this, subject = std::move(subject), handler = std::move(handler)]
+        {
+            traffic_snapshot result{.counts = core_.counts,
+                                    .burn = {},
+                                    .decisions = {},
+                                    .load = entry_->runner().load(),
+                                    .links = core_.links->counters()};
+            if (subject.burn_member)
+                result.burn =
+                    to_wire(core_.ends, *subject.burn_member, wall_now());
+            if (!subject.trace_id.empty())
+                result.decisions = core_.decisions.find(subject.trace_id);
+            handler(std::move(result));
+        });
 }
 
 void traffic_plane::on_frame(link_id link, wire::frame&& frame)
--- a/src/pollenhalld/traffic_plane.hpp
+++ b/src/pollenhalld/traffic_plane.hpp
@@ -32,12 +32,23 @@
     std::function<void(std::vector<roster_status>)> on_roster_status;
 };
 
+/// What a question to all nodes is about, besides counts.
+struct query_subject
+{
+    /// Member whose ends are wanted.
+    std::optional<member_name> burn_member;
+    /// Trace whose decisions are wanted; empty for none.
+    std::string trace_id;
+};
+
 /// Numbers for metrics; a copy made on the traffic thread.
 struct traffic_snapshot
 {
     board counts;
     /// Set if a member was asked for.
     std::optional<wire::burn_part> burn;
+    /// Decisions on the trace that was asked for.
+    std::vector<decision_record> decisions;
     load_hint load;
     link_counters links;
 };
@@ -77,8 +88,7 @@
     void reply_to_all(wire::frame frame);
 
     /// Copies the counts; `handler` runs on the traffic thread.
-    /// With the ends of `member`, if one is given.
-    void snapshot(std::optional<member_name> member,
+    void snapshot(query_subject subject,
                   std::function<void(traffic_snapshot)> handler);
     /// Whether calls are in progress or answers still to be written.
     [[nodiscard]] bool is_idle() const { return idle_; }
--- a/testsuite/case.py
+++ b/testsuite/case.py
@@ -6,7 +6,7 @@
 import tempfile
 import unittest
 
-from deployment import ROOT, Deployment
+from deployment import ADDRESS, ROOT, Deployment
 
 sys.path.insert(0, str(ROOT / "src" / "gen" / "python"))
 
@@ -58,6 +58,21 @@
         return [node for node in self.platform.nodes.values()
                 if node.service == "stock"]
 
+    def connect(self, node, name=None, key=None):
+        """A client of a node's operator port, logged in if a name is given."""
+        from pollenhall_operator import operator_service
+        from thrift.protocol import TBinaryProtocol
+        from thrift.transport import TSocket, TTransport
+        transport = TTransport.TBufferedTransport(
+            TSocket.TSocket(ADDRESS, node.operator_port))
+        transport.open()
+        self.addCleanup(transport.close)
+        client = operator_service.Client(
+            TBinaryProtocol.TBinaryProtocol(transport))
+        if name:
+            client.log_in(name, key)
+        return client
+
     def runs_by_key(self):
         """How often the upstreams that can be asked ran each key."""
         totals = collections.Counter()
--- a/testsuite/deployment.py
+++ b/testsuite/deployment.py
@@ -5,6 +5,7 @@
 """
 
 import configparser
+import hashlib
 import http.client
 import itertools
 import json
@@ -45,6 +46,11 @@
     return list(itertools.islice(filter(is_free, PORTS), count))
 
 
+def hash_key(key):
+    """The hash of an operator's key, as settings and declarations hold it."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
 def make_key(issued_ms=None):
     """Returns a UUID of version 7 (RFC 9562)."""
     issued = int(time.time() * 1000) if issued_ms is None else issued_ms
@@ -137,6 +143,15 @@
         self.store_port = store_port or free_ports(1)[0]
         self.store = None
         self.nodes = {}
+        self.platform_key = secrets.token_hex(32)
+        self.key_file = self.write_key("platform", self.platform_key)
+
+    def write_key(self, name, key):
+        """Writes a key file as pollenctl takes it; returns its path."""
+        path = self.folder / (name.replace("/", "-") + ".key")
+        path.touch(mode=0o600)
+        path.write_text(f"{name} {key}\n")
+        return path
 
     def __enter__(self):
         return self
@@ -171,6 +186,7 @@
                 f"{ADDRESS}:{port}" for port in seeds)
         settings["callers"] = {"max-connections": self.caller_connections}
         settings["policy"] = {"mode": self.policy}
+        settings["operators"] = {"key-hash": hash_key(self.platform_key)}
         path = self.folder / f"{node.name}.ini"
         with open(path, "w", encoding="utf-8") as file:
             settings.write(file)
@@ -229,11 +245,12 @@
         return json.loads(http_request(self.store_port, "GET",
                                        "/standin/counters")[2])
 
-    def ctl(self, node, *arguments, check=None):
+    def ctl(self, node, *arguments, check=None, key_file=None):
         """Runs pollenctl against a node; returns exit code and output."""
         result = subprocess.run(
             [BUILD / "src/pollenctl/pollenctl", *map(str, arguments),
-             "--node", f"{ADDRESS}:{node.operator_port}"],
+             "--node", f"{ADDRESS}:{node.operator_port}",
+             "--key-file", key_file or self.key_file],
             capture_output=True, text=True, timeout=30, cwd=ROOT)
         if check is not None and result.returncode != check:
             raise AssertionError(
