Read over: dead state removed, repeated look-ups made one

Cause: reading the whole change once more. Each try noted its node in forwarded_call::tried, which nothing reads; end_counts::add had no caller. The search of a name in a table of enumerators stood three times, the check of a name in a section's heading three times, and eight commands connected and logged in with the same line.

Change: the two dead members are gone, so a sender of tries takes the call unchanged; find_by_name, read_section_name and connect serve the rest. Messages, ranges and tests are as they were.

Speed was not measured before or after.

Conclusion: behaviour unchanged.

--- a/src/include/pollenhall/burn_history.hpp
+++ b/src/include/pollenhall/burn_history.hpp
@@ -61,7 +61,6 @@
     {
         return by_end[static_cast<std::size_t>(end)];
     }
-    void add(request_end end) { ++by_end[static_cast<std::size_t>(end)]; }
     end_counts& operator+=(end_counts const& other);
     /// Requests that the objective judges.
     [[nodiscard]] std::int64_t judged() const;
--- a/src/include/pollenhall/io/calls.hpp
+++ b/src/include/pollenhall/io/calls.hpp
@@ -11,7 +11,6 @@
 #include <functional>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -48,8 +47,6 @@
     bool delegated = false;
     fingerprint content;
     int attempt = 1;
-    /// Nodes that tries of this call were sent to before; stays on this node.
-    std::set<node_id> tried;
 };
 
 /// The rank of a call at this hop.
--- a/src/libpollenhall/decision_log.cpp
+++ b/src/libpollenhall/decision_log.cpp
@@ -2,7 +2,8 @@
 
 #include <pollenhall/decision_log.hpp>
 
-#include <algorithm>
+#include <pollenhall/name_table.hpp>
+
 #include <array>
 
 namespace pollenhall
@@ -20,10 +21,7 @@
 
 std::optional<decision_point> parse_decision_point(std::string_view name)
 {
-    auto const found = std::find(point_names.begin(), point_names.end(), name);
-    if (found == point_names.end())
-        return std::nullopt;
-    return static_cast<decision_point>(found - point_names.begin());
+    return find_by_name<decision_point>(point_names, name);
 }
 
 void decision_log::add(decision_record record)
--- a/src/libpollenhall/declarations.cpp
+++ b/src/libpollenhall/declarations.cpp
@@ -84,6 +84,21 @@
     return heading;
 }
 
+// Like `named_section`; a name that is not allowed becomes a finding.
+std::string_view read_section_name(std::string_view path,
+                                   ini_section const& section,
+                                   std::string_view keyword,
+                                   finding_list& findings)
+{
+    auto const name = named_section(section.name, keyword);
+    if (!is_valid_name(name))
+        findings.add(path, section.line,
+                     std::string(keyword) + " name '" + std::string(name) +
+                         "' is not made of 1 to 63 lower-case letters, "
+                         "digits and hyphens");
+    return name;
+}
+
 void report_unknown_section(finding_list& findings, std::string_view path,
                             ini_section const& section,
                             std::string_view allowed)
@@ -170,12 +185,7 @@
 void folder_parser::parse_zone_section(std::string_view path,
                                        ini_section const& section)
 {
-    auto const name = named_section(section.name, "zone");
-    if (!is_valid_name(name))
-        findings_->add(path, section.line,
-                       "zone name '" + std::string(name) +
-                           "' is not made of 1 to 63 lower-case letters, "
-                           "digits and hyphens");
+    auto const name = read_section_name(path, section, "zone", *findings_);
     value_reader reader(path, section, *findings_);
     zone_declaration zone;
     zone.name = zone_name(std::string(name));
@@ -187,12 +197,7 @@
 void folder_parser::parse_operator_section(std::string_view path,
                                            ini_section const& section)
 {
-    auto const name = named_section(section.name, "operator");
-    if (!is_valid_name(name))
-        findings_->add(path, section.line,
-                       "operator name '" + std::string(name) +
-                           "' is not made of 1 to 63 lower-case letters, "
-                           "digits and hyphens");
+    auto const name = read_section_name(path, section, "operator", *findings_);
     value_reader reader(path, section, *findings_);
     operator_grant grant;
     grant.name = name;
@@ -272,12 +277,7 @@
                                        ini_section const& section,
                                        service_declaration& service)
 {
-    auto const name = named_section(section.name, "kind");
-    if (!is_valid_name(name))
-        findings_->add(path, section.line,
-                       "kind name '" + std::string(name) +
-                           "' is not made of 1 to 63 lower-case letters, "
-                           "digits and hyphens");
+    auto const name = read_section_name(path, section, "kind", *findings_);
     value_reader reader(path, section, *findings_);
     kind_declaration kind;
     kind.name = kind_name(std::string(name));
--- a/src/libpollenhall/dispatch_queue.cpp
+++ b/src/libpollenhall/dispatch_queue.cpp
@@ -2,6 +2,8 @@
 
 #include <pollenhall/dispatch_queue.hpp>
 
+#include <pollenhall/name_table.hpp>
+
 #include <algorithm>
 #include <tuple>
 
@@ -32,11 +34,7 @@
 
 std::optional<refusal> parse_refusal(std::string_view name)
 {
-    auto const found =
-        std::find(refusal_names.begin(), refusal_names.end(), name);
-    if (found == refusal_names.end())
-        return std::nullopt;
-    return static_cast<refusal>(found - refusal_names.begin());
+    return find_by_name<refusal>(refusal_names, name);
 }
 
 double wait_share(queued_call const& call, mono_time now)
--- a/src/libpollenhall/operator_rights.cpp
+++ b/src/libpollenhall/operator_rights.cpp
@@ -2,6 +2,8 @@
 
 #include <pollenhall/operator_rights.hpp>
 
+#include <pollenhall/name_table.hpp>
+
 #include <algorithm>
 #include <array>
 
@@ -20,10 +22,7 @@
 
 std::optional<operator_right> parse_operator_right(std::string_view name)
 {
-    auto const found = std::find(right_names.begin(), right_names.end(), name);
-    if (found == right_names.end())
-        return std::nullopt;
-    return static_cast<operator_right>(found - right_names.begin());
+    return find_by_name<operator_right>(right_names, name);
 }
 
 bool is_key_hash(std::string_view text)
--- a/src/pollenctl/commands.cpp
+++ b/src/pollenctl/commands.cpp
@@ -148,6 +148,11 @@
     }
 }
 
+operator_connection connect(command_arguments const& arguments)
+{
+    return {arguments.node, read_login(arguments.key_file)};
+}
+
 int run_check(command_arguments const& arguments)
 {
     if (lacks_folder(arguments, "check"))
@@ -165,7 +170,7 @@
     auto const documents = read_documents(arguments, findings);
     if (!findings.empty())
         return report_findings(arguments, findings.items());
-    operator_connection node(arguments.node, read_login(arguments.key_file));
+    auto node = connect(arguments);
     rpc::diff_reply reply;
     node->diff(reply, documents);
     if (!reply.findings.empty())
@@ -259,7 +264,7 @@
     request.apply_id =
         arguments.apply_id.empty() ? make_apply_id() : arguments.apply_id;
     request.actor = arguments.actor;
-    operator_connection node(arguments.node, read_login(arguments.key_file));
+    auto node = connect(arguments);
     rpc::apply_reply reply;
     node->apply(reply, request);
     return report_apply(arguments, reply, request.apply_id);
@@ -272,7 +277,7 @@
         std::cerr << "pollenctl: settle needs --member and --apply-id\n";
         return exit_code::usage;
     }
-    operator_connection node(arguments.node, read_login(arguments.key_file));
+    auto node = connect(arguments);
     rpc::apply_reply reply;
     node->settle(reply, arguments.member, arguments.apply_id);
     return report_apply(arguments, reply, arguments.apply_id);
@@ -322,7 +327,7 @@
 
 int run_status(command_arguments const& arguments)
 {
-    operator_connection node(arguments.node, read_login(arguments.key_file));
+    auto node = connect(arguments);
     rpc::status_reply reply;
     node->status(reply);
     if (!arguments.wants_json())
@@ -345,7 +350,7 @@
 
 int run_drain(command_arguments const& arguments)
 {
-    operator_connection node(arguments.node, read_login(arguments.key_file));
+    auto node = connect(arguments);
     if (arguments.undo)
         node->undrain();
     else
@@ -397,7 +402,7 @@
 
 int report_burn(command_arguments const& arguments)
 {
-    operator_connection node(arguments.node, read_login(arguments.key_file));
+    auto node = connect(arguments);
     rpc::burn_reply reply;
     node->burn(reply, arguments.member);
     if (arguments.format == "json")
@@ -424,7 +429,7 @@
                      "'report burn' as text, json or html\n";
         return exit_code::usage;
     }
-    operator_connection node(arguments.node, read_login(arguments.key_file));
+    auto node = connect(arguments);
     rpc::report_reply reply;
     node->report(reply, arguments.member);
     if (!arguments.wants_json())
@@ -477,7 +482,7 @@
                      "Pollenhall-Trace-Id gives it\n";
         return exit_code::usage;
     }
-    operator_connection node(arguments.node, read_login(arguments.key_file));
+    auto node = connect(arguments);
     rpc::explain_reply reply;
     node->explain(reply, arguments.positional);
     if (!arguments.wants_json())
--- a/src/pollenhalld/call_driver.hpp
+++ b/src/pollenhalld/call_driver.hpp
@@ -20,7 +20,8 @@
 
 /// Sends one try and notes in the call where it went; the handler is called
 /// once on the traffic thread, unless the returned canceller is called before.
-using try_sender = std::function<try_canceller(forwarded_call&, call_handler)>;
+using try_sender =
+    std::function<try_canceller(forwarded_call const&, call_handler)>;
 
 /// One call in progress. Lives as long as its timers and tries.
 class call_driver : public std::enable_shared_from_this<call_driver>
--- a/src/pollenhalld/call_entry.cpp
+++ b/src/pollenhalld/call_entry.cpp
@@ -77,7 +77,7 @@
 call_entry::call_entry(traffic_core& core)
     : core_(core), runner_(core, [this](std::uint64_t call) { cancel(call); }),
       home_(core, home_ratio_,
-            [this](forwarded_call& call, call_handler handler)
+            [this](forwarded_call const& call, call_handler handler)
             { return spread(call, std::move(handler)); })
 {
 }
@@ -223,7 +223,8 @@
                                     .lending = lending_of(kind),
                                     .deadline = call.deadline};
     auto& ratio = has_key ? home_ratio_ : state_of(call.kind.service).ratio;
-    auto sender = [this, has_key](forwarded_call& item, call_handler handler)
+    auto sender =
+        [this, has_key](forwarded_call const& item, call_handler handler)
     {
         return has_key ? ask_home(item, std::move(handler))
                        : spread(item, std::move(handler));
@@ -309,7 +310,8 @@
     return choice.node;
 }
 
-try_canceller call_entry::spread(forwarded_call& call, call_handler handler)
+try_canceller call_entry::spread(forwarded_call const& call,
+                                 call_handler handler)
 {
     auto const view = core_.view.get();
     auto const* const upstreams = view->find(call.kind.service);
@@ -327,7 +329,6 @@
         post_result(std::move(handler), std::move(result));
         return [] {};
     }
-    call.tried.insert(*node);
     auto const started = mono_now();
     state.routes.on_start(*node, started);
     // A cancelled try that waits on this node ends at once, one on another
--- a/src/pollenhalld/call_entry.hpp
+++ b/src/pollenhalld/call_entry.hpp
@@ -107,7 +107,7 @@
     void count_end_of(open_call const& open, call_result const& result,
                       int retries);
     bool is_quarantined(forwarded_call const& call, node_view const& view);
-    try_canceller spread(forwarded_call& call, call_handler handler);
+    try_canceller spread(forwarded_call const& call, call_handler handler);
     try_canceller ask_home(forwarded_call const& call, call_handler handler);
     std::optional<node_id> choose(forwarded_call const& call,
                                   service_view const& upstreams,
