--- a/scripts/install_packages.sh
+++ b/scripts/install_packages.sh
@@ -9,7 +9,7 @@
     libasio-dev libthrift-dev thrift-compiler prometheus-cpp-dev
     libcpp-httplib-dev libboost-program-options-dev libgoogle-glog-dev
     libabsl-dev doctest-dev librapidcheck-dev nlohmann-json3-dev
-    libinih-dev libxxhash-dev libssl-dev python3 python3-thrift
+    libhttp-parser-dev libinih-dev libxxhash-dev libssl-dev python3 python3-thrift
 )
 
 missing=()
--- a/scripts/sources.sh
+++ b/scripts/sources.sh
@@ -3,4 +3,5 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 git ls-files --cached --others --exclude-standard \
-    'src/*.cpp' 'src/*.hpp' 'testsuite/*.cpp' | grep -v '^src/gen/'
+    'src/*.cpp' 'src/*.hpp' 'testsuite/*.cpp' \
+    'platform/*.cpp' 'platform/*.hpp' | grep -v '^src/gen/'
--- a/src/include/pollenhall/io/log_event.hpp
+++ b/src/include/pollenhall/io/log_event.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <string_view>
 
@@ -21,6 +22,9 @@
 /// Sets glog up to write bare lines to standard error; call it once.
 void start_logging(std::string_view program);
 
+/// Replaces what writes the lines; set it before the first line.
+void set_log_writer(std::function<void(log_level, std::string const&)> writer);
+
 /// Builds one line; written when the object is destroyed. Events of one name
 /// are limited to a number each second; what was left out is counted in the
 /// next line's `suppressed` pair.
--- a/src/libpollenhall_io/log_event.cpp
+++ b/src/libpollenhall_io/log_event.cpp
@@ -89,6 +89,29 @@
     return names.at(static_cast<std::size_t>(level));
 }
 
+void write_with_glog(log_level level, std::string const& line)
+{
+    switch (level)
+    {
+    case log_level::info:
+        LOG(INFO) << line;
+        break;
+    case log_level::warning:
+        LOG(WARNING) << line;
+        break;
+    case log_level::error:
+        LOG(ERROR) << line;
+        break;
+    }
+}
+
+std::function<void(log_level, std::string const&)>& log_writer()
+{
+    static std::function<void(log_level, std::string const&)> writer =
+        write_with_glog;
+    return writer;
+}
+
 bool is_plain(std::string_view value)
 {
     return !value.empty() && std::all_of(value.begin(), value.end(),
@@ -113,6 +136,11 @@
     google::InitGoogleLogging(name.c_str());
 }
 
+void set_log_writer(std::function<void(log_level, std::string const&)> writer)
+{
+    log_writer() = std::move(writer);
+}
+
 std::string quote_log_value(std::string_view value)
 {
     value = value.substr(0, max_value_bytes);
@@ -167,18 +195,7 @@
 {
     if (line_.empty())
         return;
-    switch (level_)
-    {
-    case log_level::info:
-        LOG(INFO) << line_;
-        break;
-    case log_level::warning:
-        LOG(WARNING) << line_;
-        break;
-    case log_level::error:
-        LOG(ERROR) << line_;
-        break;
-    }
+    log_writer()(level_, line_);
 }
 
 } // namespace pollenhall
--- /dev/null
+++ b/src/libpollenhall_mesh/http_reader.cpp
@@ -0,0 +1,227 @@
+// Reads HTTP/1.1 messages with http_parser and refuses what is ambiguous.
+
+#include <pollenhall/mesh/http_reader.hpp>
+
+#include <algorithm>
+
+namespace pollenhall::mesh
+{
+
+http_reader::http_reader(direction what, http_reader_limits limits)
+    : direction_(what), limits_(limits)
+{
+    reset();
+}
+
+void http_reader::reset()
+{
+    http_parser_init(&parser_, direction_ == direction::request
+                                   ? HTTP_REQUEST
+                                   : HTTP_RESPONSE);
+    parser_.data = this;
+    start_.clear();
+    fields_ = {};
+    body_.clear();
+    header_size_ = 0;
+    in_value_ = false;
+    started_ = false;
+    header_complete_ = false;
+    complete_ = false;
+    no_body_ = false;
+    keep_alive_ = true;
+    by_close_ = false;
+    failure_ = read_status::malformed;
+}
+
+http_parser_settings const& http_reader::settings()
+{
+    static http_parser_settings const callbacks = []
+    {
+        http_parser_settings made{};
+        http_parser_settings_init(&made);
+        made.on_url = on_url;
+        made.on_status = on_reason;
+        made.on_header_field = on_field;
+        made.on_header_value = on_value;
+        made.on_headers_complete = on_headers;
+        made.on_body = on_body;
+        made.on_message_complete = on_complete;
+        return made;
+    }();
+    return callbacks;
+}
+
+read_status http_reader::feed(std::string_view& data)
+{
+    if (complete_)
+        return read_status::complete;
+    if (data.empty())
+        return read_status::need_more;
+    started_ = true;
+    auto const taken =
+        http_parser_execute(&parser_, &settings(), data.data(), data.size());
+    data.remove_prefix(std::min(taken, data.size()));
+    if (complete_)
+        return read_status::complete;
+    if (HTTP_PARSER_ERRNO(&parser_) != HPE_OK)
+        return HTTP_PARSER_ERRNO(&parser_) == HPE_HEADER_OVERFLOW
+                   ? read_status::header_too_large
+                   : failure_;
+    return read_status::need_more;
+}
+
+read_status http_reader::finish()
+{
+    if (complete_)
+        return read_status::complete;
+    if (!header_complete_)
+        return read_status::malformed;
+    by_close_ = true;
+    http_parser_execute(&parser_, &settings(), nullptr, 0);
+    return complete_ ? read_status::complete : read_status::malformed;
+}
+
+bool http_reader::expects_continue() const
+{
+    auto const* expect = fields_.find("Expect");
+    return expect != nullptr && equal_names(*expect, "100-continue");
+}
+
+http_request http_reader::take_request()
+{
+    http_request request{
+        .method = http_method_str(static_cast<http_method>(parser_.method)),
+        .target = std::move(start_),
+        .fields = std::move(fields_),
+        .body = std::move(body_),
+        .keep_alive = keep_alive_};
+    reset();
+    return request;
+}
+
+http_response http_reader::take_response()
+{
+    http_response response{.status = static_cast<int>(parser_.status_code),
+                           .reason = std::move(start_),
+                           .fields = std::move(fields_),
+                           .body = std::move(body_),
+                           .keep_alive = keep_alive_ && !by_close_,
+                           .ended_by_close = by_close_};
+    reset();
+    return response;
+}
+
+bool http_reader::count_header(std::size_t size)
+{
+    header_size_ += size;
+    if (header_size_ <= limits_.header_bytes)
+        return true;
+    failure_ = read_status::header_too_large;
+    return false;
+}
+
+bool http_reader::header_is_valid() const
+{
+    auto const has_control = [](std::string const& text)
+    {
+        return std::any_of(text.begin(), text.end(),
+                           [](char c)
+                           {
+                               auto const byte = static_cast<unsigned char>(c);
+                               return (byte < 0x20 && c != '\t') ||
+                                      byte == 0x7F;
+                           });
+    };
+    for (auto const& field : fields_.all())
+        if (field.name.empty() || has_control(field.value))
+            return false;
+    if (parser_.http_major != 1)
+        return false;
+    if (direction_ == direction::response)
+        return true;
+    // One way to tell the end of a body, one host, and a plain path.
+    return fields_.count("Content-Length") <= 1 &&
+           fields_.count("Transfer-Encoding") <= 1 &&
+           fields_.count("Host") <= 1 && parser_.method != HTTP_CONNECT &&
+           !start_.empty() && start_.front() == '/' && !has_control(start_);
+}
+
+int http_reader::on_url(http_parser* parser, char const* at, std::size_t size)
+{
+    auto& reader = self(parser);
+    if (!reader.count_header(size))
+        return 1;
+    reader.start_.append(at, size);
+    return 0;
+}
+
+int http_reader::on_reason(http_parser* parser, char const* at,
+                           std::size_t size)
+{
+    return on_url(parser, at, size);
+}
+
+int http_reader::on_field(http_parser* parser, char const* at, std::size_t size)
+{
+    auto& reader = self(parser);
+    if (!reader.count_header(size))
+        return 1;
+    auto& fields = reader.fields_.all();
+    if (reader.in_value_ || fields.empty())
+        fields.emplace_back();
+    reader.in_value_ = false;
+    fields.back().name.append(at, size);
+    return 0;
+}
+
+int http_reader::on_value(http_parser* parser, char const* at, std::size_t size)
+{
+    auto& reader = self(parser);
+    if (!reader.count_header(size) || reader.fields_.all().empty())
+        return 1;
+    reader.in_value_ = true;
+    reader.fields_.all().back().value.append(at, size);
+    return 0;
+}
+
+int http_reader::on_headers(http_parser* parser)
+{
+    auto& reader = self(parser);
+    if (!reader.header_is_valid())
+        return -1;
+    reader.header_complete_ = true;
+    // A connection never changes its protocol here, so that a body is read
+    // as a body.
+    parser->upgrade = 0;
+    bool const has_length = parser->content_length != ~0ULL;
+    if (has_length && parser->content_length > reader.limits_.body_bytes)
+    {
+        reader.failure_ = read_status::body_too_large;
+        return -1;
+    }
+    return reader.no_body_ ? 1 : 0;
+}
+
+int http_reader::on_body(http_parser* parser, char const* at, std::size_t size)
+{
+    auto& reader = self(parser);
+    if (reader.body_.size() + size > reader.limits_.body_bytes)
+    {
+        reader.failure_ = read_status::body_too_large;
+        return 1;
+    }
+    reader.body_.append(at, size);
+    return 0;
+}
+
+int http_reader::on_complete(http_parser* parser)
+{
+    auto& reader = self(parser);
+    reader.keep_alive_ = http_should_keep_alive(parser) != 0;
+    reader.complete_ = true;
+    // Bytes of the next message are left to the next call of feed().
+    http_parser_pause(parser, 1);
+    return 0;
+}
+
+} // namespace pollenhall::mesh
--- /dev/null
+++ b/src/libpollenhall_mesh/placement.cpp
@@ -0,0 +1,186 @@
+// Ranks upstreams by utilisation, distance and failures.
+
+#include <pollenhall/mesh/placement.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace pollenhall::mesh
+{
+namespace
+{
+
+// Spread of the random part of a score, in utilisation: enough to share calls
+// among upstreams that look alike.
+constexpr double tie_spread = 0.02;
+
+} // namespace
+
+placement::placement(placement_options options) : options_(std::move(options))
+{
+}
+
+void placement::set_hosts(std::vector<host_entry> const& hosts, mono_time now)
+{
+    std::map<host_address, upstream_view> views;
+    by_service_.clear();
+    for (auto const& entry : hosts)
+    {
+        upstream_view view;
+        auto const old = views_.find(entry.host);
+        if (old != views_.end() && old->second.entry == entry)
+            view = old->second;
+        else
+        {
+            if (old != views_.end())
+            {
+                view.outstanding = old->second.outstanding;
+                if (old->second.entry.incarnation == entry.incarnation)
+                    view.load.service_ms = old->second.load.service_ms;
+            }
+            view.entry = entry;
+            view.load.limit = std::max(entry.slots, 1);
+            view.cold_until = now + entry.cold_left;
+        }
+        by_service_[entry.service].push_back(entry.host);
+        views.insert_or_assign(entry.host, std::move(view));
+    }
+    views_ = std::move(views);
+}
+
+double placement::utilisation(upstream_view const& view, mono_time now) const
+{
+    double others = 0;
+    if (view.has_load)
+    {
+        auto const age =
+            std::chrono::duration<double, std::milli>(now - view.load_time)
+                .count();
+        double const reported =
+            view.load.running + view.load.queued - view.outstanding_at_report;
+        others = std::max(0.0, reported) *
+                 std::exp2(-age / static_cast<double>(
+                                      options_.load_half_life.count()));
+    }
+    return (others + view.outstanding) / std::max(view.load.limit, 1);
+}
+
+double placement::score(upstream_view const& view, mono_time now) const
+{
+    double total = utilisation(view, now);
+    if (view.entry.zone != options_.own_zone)
+        total += options_.zone_penalty;
+    if (view.has_load)
+        total +=
+            options_.failure_weight * view.load.failing_share *
+            std::exp2(
+                -std::chrono::duration<double>(now - view.load_time).count());
+    if (now < view.cold_until)
+        total += options_.cold_penalty;
+    return total;
+}
+
+bool placement::usable(upstream_view const& view, mono_time now) const
+{
+    return view.entry.ready && now >= view.paused_until;
+}
+
+host_entry const* placement::choose(service_name const& service,
+                                    std::vector<host_address> const& excluded,
+                                    std::uint64_t random, mono_time now) const
+{
+    auto const found = by_service_.find(service);
+    if (found == by_service_.end())
+        return nullptr;
+    host_entry const* best = nullptr;
+    double best_score = 0;
+    for (auto const& host : found->second)
+    {
+        auto const& view = views_.at(host);
+        if (!usable(view, now) ||
+            std::find(excluded.begin(), excluded.end(), host) != excluded.end())
+            continue;
+        random = random * 6364136223846793005ULL + 1442695040888963407ULL;
+        double const jitter =
+            tie_spread * static_cast<double>(random >> 40) / (1 << 24);
+        double const candidate = score(view, now) + jitter;
+        if (best == nullptr || candidate < best_score)
+        {
+            best = &view.entry;
+            best_score = candidate;
+        }
+    }
+    return best;
+}
+
+placement::upstream_view* placement::find(host_address const& host)
+{
+    auto const found = views_.find(host);
+    return found == views_.end() ? nullptr : &found->second;
+}
+
+void placement::on_sent(host_address const& host)
+{
+    if (auto* view = find(host))
+        ++view->outstanding;
+}
+
+void placement::on_finished(host_address const& host)
+{
+    if (auto* view = find(host); view != nullptr && view->outstanding > 0)
+        --view->outstanding;
+}
+
+void placement::on_load(host_address const& host, upstream_load const& load,
+                        mono_time now)
+{
+    auto* view = find(host);
+    if (view == nullptr)
+        return;
+    view->load = load;
+    view->load_time = now;
+    view->has_load = true;
+    view->outstanding_at_report = view->outstanding;
+    view->pause = milliseconds{0};
+}
+
+void placement::on_unreachable(host_address const& host, mono_time now)
+{
+    auto* view = find(host);
+    if (view == nullptr)
+        return;
+    view->pause =
+        std::clamp(view->pause * 2, options_.first_pause, options_.max_pause);
+    view->paused_until = now + view->pause;
+}
+
+void placement::on_not_ready(host_address const& host, milliseconds pause,
+                             mono_time now)
+{
+    if (auto* view = find(host))
+        view->paused_until = now + pause;
+}
+
+std::optional<double> placement::headroom(service_name const& service,
+                                          mono_time now) const
+{
+    auto const found = by_service_.find(service);
+    if (found == by_service_.end())
+        return std::nullopt;
+    double room = 0;
+    for (auto const& host : found->second)
+    {
+        auto const& view = views_.at(host);
+        if (usable(view, now))
+            room += (1 - utilisation(view, now)) * view.load.limit;
+    }
+    return room;
+}
+
+std::size_t placement::known(service_name const& service) const
+{
+    auto const found = by_service_.find(service);
+    return found == by_service_.end() ? 0 : found->second.size();
+}
+
+} // namespace pollenhall::mesh
--- /dev/null
+++ b/src/libpollenhall_mesh/registration.cpp
@@ -0,0 +1,86 @@
+// Orders heartbeats by start and sequence.
+
+#include <pollenhall/mesh/registration.hpp>
+
+#include <array>
+
+namespace pollenhall::mesh
+{
+
+std::string_view to_string(heartbeat_rejection reason)
+{
+    constexpr std::array<std::string_view, 4> names{"foreign", "old_start",
+                                                    "old_sequence", "has_left"};
+    return names.at(static_cast<std::size_t>(reason));
+}
+
+upstream_registration::upstream_registration(service_name service,
+                                             std::string address)
+    : service_(std::move(service)), address_(std::move(address))
+{
+}
+
+heartbeat_result
+upstream_registration::on_heartbeat(upstream_heartbeat const& heartbeat,
+                                    mono_time now)
+{
+    if (heartbeat.service != service_ || heartbeat.address != address_)
+        return heartbeat_rejection::foreign;
+    if (current_)
+    {
+        auto const& known = current_->last;
+        bool const starts_known =
+            known.started.has_value() && heartbeat.started.has_value();
+        if (starts_known && *heartbeat.started < *known.started)
+            return heartbeat_rejection::old_start;
+        bool const same_start =
+            heartbeat.incarnation == known.incarnation &&
+            (!starts_known || *heartbeat.started == *known.started);
+        if (same_start && current_->left)
+            return heartbeat_rejection::has_left;
+        if (same_start && heartbeat.sequence <= known.sequence)
+            return heartbeat_rejection::old_sequence;
+        if (same_start)
+        {
+            bool const changed = known.draining != heartbeat.draining ||
+                                 known.slots != heartbeat.slots;
+            current_->last = heartbeat;
+            current_->heard = now;
+            return heartbeat_accepted{.changed = changed};
+        }
+    }
+    current_ = registered_upstream{.last = heartbeat, .heard = now};
+    return heartbeat_accepted{.changed = true};
+}
+
+bool upstream_registration::on_leave(incarnation_id const& incarnation,
+                                     mono_time now)
+{
+    if (current_ && current_->last.incarnation != incarnation)
+        return false;
+    if (!current_)
+        current_ = registered_upstream{.last = {.incarnation = incarnation,
+                                                .service = service_,
+                                                .address = address_}};
+    current_->heard = now;
+    bool const changed = !current_->left;
+    current_->left = true;
+    return changed;
+}
+
+bool upstream_registration::on_health_check(incarnation_id const& incarnation,
+                                            int slots, mono_time now)
+{
+    if (current_)
+        return false;
+    current_ = registered_upstream{.last = {.incarnation = incarnation,
+                                            .service = service_,
+                                            .address = address_,
+                                            .slots = slots},
+                                   .heard = now};
+    // Any heartbeat is newer than a health check.
+    current_->last.sequence = -1;
+    return true;
+}
+
+} // namespace pollenhall::mesh
--- /dev/null
+++ b/src/pollenhall_sidecar/client_connection.cpp
@@ -0,0 +1,283 @@
+// Carries exchanges over one kept connection.
+
+#include "client_connection.hpp"
+
+#include <pollenhall/io/clocks.hpp>
+
+#include <cstdlib>
+
+#include <netinet/tcp.h>
+
+#include <asio/buffer.hpp>
+#include <asio/post.hpp>
+#include <asio/write.hpp>
+
+namespace pollenhall::sidecar
+{
+namespace
+{
+
+// A kept connection is given up this long before the other side ends it, so
+// that no request crosses its end.
+constexpr milliseconds keep_alive_margin{700};
+// Unacknowledged bytes on a path that has died end a connection after this
+// time, in ms.
+constexpr int user_timeout_ms = 3'000;
+// Silence on an idle connection is probed after this time, in s, this often.
+constexpr int probe_after_s = 2;
+constexpr int probe_count = 2;
+
+using integer_option =
+    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+using keep_idle =
+    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+using keep_interval =
+    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+using keep_count =
+    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+
+} // namespace
+
+client_connection::client_connection(asio::io_context& context,
+                                     deadline_timers& timers,
+                                     std::weak_ptr<client_pool> pool,
+                                     client_pool_options const& options)
+    : socket_(context), timers_(timers), pool_(std::move(pool)),
+      options_(options),
+      reader_(mesh::http_reader::direction::response, options.reader)
+{
+}
+
+void client_connection::connect(asio::ip::tcp::endpoint const& address)
+{
+    std::error_code error;
+    socket_.open(address.protocol(), error);
+    if (error)
+        return finish_later(
+            {.end = exchange_end::not_connected, .detail = error.message()});
+    // Without an option the connection still works, only slower to notice
+    // that the other side is gone.
+    socket_.set_option(asio::ip::tcp::no_delay(true), error);
+    socket_.set_option(integer_option(user_timeout_ms), error);
+    socket_.set_option(asio::socket_base::keep_alive(true), error);
+    socket_.set_option(keep_idle(probe_after_s), error);
+    socket_.set_option(keep_interval(1), error);
+    socket_.set_option(keep_count(probe_count), error);
+    timers_.cancel(timeout_);
+    auto const limit =
+        std::min(request_.deadline, mono_now() + options_.connect_timeout);
+    timeout_ = timers_.at(
+        limit,
+        [weak = weak_from_this()]
+        {
+            if (auto self = weak.lock(); self && !self->connected_)
+                self->finish({.end = exchange_end::not_connected,
+                              .detail = "connection attempt timed out"},
+                             false);
+        });
+    socket_.async_connect(
+        address,
+        [self = shared_from_this()](std::error_code failed)
+        {
+            if (self->closed_)
+                return;
+            if (failed)
+                return self->finish({.end = exchange_end::not_connected,
+                                     .detail = failed.message()},
+                                    false);
+            self->connected_ = true;
+            std::error_code ignored; // asynchronous use does not need it
+            self->socket_.non_blocking(true, ignored);
+            self->send();
+        });
+}
+
+void client_connection::begin(exchange_request request)
+{
+    busy_ = true;
+    sent_ = false;
+    written_ = 0;
+    request_ = std::move(request);
+    if (connected_)
+        send();
+}
+
+void client_connection::send()
+{
+    timers_.cancel(timeout_);
+    timeout_ = timers_.at(request_.deadline,
+                          [weak = weak_from_this()]
+                          {
+                              if (auto self = weak.lock(); self && self->busy_)
+                                  self->finish({.end = exchange_end::timed_out},
+                                               false);
+                          });
+    if (request_.head)
+        reader_.expect_no_body();
+    write();
+}
+
+void client_connection::write()
+{
+    std::error_code error;
+    auto const& bytes = request_.bytes;
+    written_ += socket_.write_some(
+        asio::buffer(bytes.data() + written_, bytes.size() - written_), error);
+    if (error && error != asio::error::would_block &&
+        error != asio::error::try_again)
+        return finish_later(
+            {.end = exchange_end::broken, .detail = error.message()});
+    if (written_ == bytes.size())
+    {
+        sent_ = true;
+        return read();
+    }
+    asio::async_write(
+        socket_, asio::buffer(bytes.data() + written_, bytes.size() - written_),
+        [self = shared_from_this()](std::error_code failed, std::size_t)
+        {
+            // An error shows on the read side too, after what was answered.
+            if (!failed)
+                self->sent_ = true;
+        });
+    read();
+}
+
+void client_connection::read()
+{
+    if (reading_ || closed_)
+        return;
+    reading_ = true;
+    socket_.async_read_some(
+        asio::buffer(buffer_),
+        [self = shared_from_this()](std::error_code error, std::size_t size)
+        {
+            self->reading_ = false;
+            if (!self->closed_)
+                self->on_read(error, size);
+        });
+}
+
+void client_connection::on_read(std::error_code error, std::size_t size)
+{
+    if (!busy_)
+        // The end of an idle connection, or bytes that answer nothing.
+        return close();
+    if (error)
+    {
+        if (error == asio::error::eof &&
+            reader_.finish() == mesh::read_status::complete)
+            return on_response(true);
+        return finish({.end = exchange_end::broken, .detail = error.message()},
+                      false);
+    }
+    parse({buffer_.data(), size});
+    if (!closed_)
+        read();
+}
+
+void client_connection::parse(std::string_view data)
+{
+    while (busy_ && !closed_ && !data.empty())
+    {
+        switch (reader_.feed(data))
+        {
+        case mesh::read_status::need_more:
+            return;
+        case mesh::read_status::complete:
+            on_response(data.empty());
+            break;
+        default:
+            return finish(
+                {.end = exchange_end::broken, .detail = "not a valid response"},
+                false);
+        }
+    }
+    if (!data.empty() && !closed_)
+        // Bytes after the answer belong to no request.
+        close();
+}
+
+void client_connection::on_response(bool ends_cleanly)
+{
+    auto response = reader_.take_response();
+    if (response.status < 200)
+        return;
+    bool const matches = !request_.matches || request_.matches(response);
+    if (!matches && !response.ended_by_close)
+    {
+        if (request_.head)
+            reader_.expect_no_body();
+        return;
+    }
+    if (!matches)
+        return finish({.end = exchange_end::broken,
+                       .detail = "response to another request"},
+                      false);
+    note_keep_alive(response);
+    bool const reusable = response.keep_alive && sent_ && ends_cleanly;
+    finish({.end = exchange_end::answered, .response = std::move(response)},
+           reusable);
+}
+
+void client_connection::note_keep_alive(mesh::http_response const& response)
+{
+    auto const* keep_alive = response.fields.find("Keep-Alive");
+    if (keep_alive == nullptr)
+        return;
+    auto const at = keep_alive->find("timeout=");
+    if (at == std::string::npos)
+        return;
+    auto const whole_seconds =
+        std::strtol(keep_alive->c_str() + at + 8, nullptr, 10);
+    kept_until_ = mono_now() + seconds(whole_seconds) - keep_alive_margin;
+}
+
+void client_connection::finish(exchange_result result, bool reusable)
+{
+    if (!busy_)
+        return;
+    busy_ = false;
+    timers_.cancel(timeout_);
+    last_used_ = mono_now();
+    auto const self = shared_from_this();
+    auto const on_end = std::move(request_.on_end);
+    request_ = {};
+    if (!reusable)
+        close();
+    else if (auto const pool = pool_.lock())
+        pool->put_back(self);
+    else
+        close();
+    if (on_end)
+        on_end(std::move(result));
+}
+
+void client_connection::finish_later(exchange_result result)
+{
+    asio::post(socket_.get_executor(),
+               [self = shared_from_this(), failed = std::move(result)]() mutable
+               { self->finish(std::move(failed), false); });
+}
+
+void client_connection::cancel()
+{
+    request_.on_end = nullptr;
+    close();
+}
+
+void client_connection::close()
+{
+    if (closed_)
+        return;
+    closed_ = true;
+    busy_ = false;
+    timers_.cancel(timeout_);
+    std::error_code error;
+    // The connection is over in any case.
+    socket_.close(error);
+    if (auto const pool = pool_.lock())
+        pool->remove(this);
+}
+
+} // namespace pollenhall::sidecar
--- /dev/null
+++ b/src/pollenhall_sidecar/gate.cpp
@@ -0,0 +1,277 @@
+// Runs calls at the upstream on the node's own host.
+
+#include "gate.hpp"
+
+#include "client_connection.hpp"
+
+#include <pollenhall/io/clocks.hpp>
+#include <pollenhall/io/log_event.hpp>
+
+#include <algorithm>
+
+namespace pollenhall::sidecar
+{
+namespace
+{
+
+// How often waiting calls are looked through for those that waited too long.
+constexpr milliseconds sweep_interval{20};
+// An upstream answers by itself when a call's time is over; the gate waits
+// this much longer, so that the connection can be kept.
+constexpr milliseconds deadline_margin{60};
+// Shortest time with which it is worth to start a call.
+constexpr milliseconds least_time{5};
+
+} // namespace
+
+gate::gate(asio::io_context& context, deadline_timers& timers,
+           gate_options options)
+    : timers_(timers), options_(std::move(options)),
+      pool_(std::make_shared<client_pool>(
+          context, timers, options_.upstream_address, client_pool_options{})),
+      queue_(options_.queue)
+{
+}
+
+void gate::set_upstream(std::optional<mesh::registered_upstream> upstream)
+{
+    bool const replaced =
+        upstream_ && upstream &&
+        upstream_->last.incarnation != upstream->last.incarnation;
+    upstream_ = std::move(upstream);
+    if (replaced)
+        pool_->close_idle();
+    if (upstream_ && upstream_->last.slots > 0)
+        queue_.set_slots(upstream_->last.slots);
+    if (!upstream_ || !upstream_->accepts_work())
+        drop_waiting();
+    start_calls();
+}
+
+std::optional<std::string> gate::reason_not_ready(call_terms const& terms) const
+{
+    if (terms.service != options_.service)
+        return "other_service";
+    if (!upstream_)
+        return "no_upstream";
+    if (upstream_->left)
+        return "upstream_left";
+    if (upstream_->last.draining)
+        return "upstream_draining";
+    if (terms.expected != upstream_->last.incarnation)
+        return "other_incarnation";
+    return std::nullopt;
+}
+
+milliseconds gate::max_wait(mesh_call const& call) const
+{
+    if (call.terms.objective.count() == 0)
+        return options_.default_max_wait;
+    return std::chrono::duration_cast<milliseconds>(call.terms.objective *
+                                                    options_.max_wait_share);
+}
+
+mesh::gate_call gate::submit(mesh_call call, attempt_handler on_end)
+{
+    mesh::gate_call const number{++last_number_};
+    auto const now = mono_now();
+    if (auto const reason = reason_not_ready(call.terms))
+    {
+        on_end({.end = mesh::attempt_end::not_offered,
+                .reason = *reason,
+                .gate_not_ready = true});
+        return number;
+    }
+    auto const refusal = queue_.offer({.number = number,
+                                       .priority = call.terms.priority,
+                                       .arrived = now,
+                                       .deadline = call.deadline,
+                                       .max_wait = max_wait(call)},
+                                      now);
+    if (refusal)
+    {
+        on_end({.end = mesh::attempt_end::not_offered,
+                .reason = std::string(mesh::to_string(*refusal)),
+                .retry_after = queue_.expected_wait()});
+        return number;
+    }
+    calls_.emplace(number, active_call{.call = std::move(call),
+                                       .on_end = std::move(on_end)});
+    start_calls();
+    sweep();
+    return number;
+}
+
+void gate::cancel(mesh::gate_call number)
+{
+    auto const found = calls_.find(number);
+    if (found == calls_.end())
+        return;
+    auto& item = found->second;
+    if (!item.running)
+    {
+        queue_.cancel(number);
+        calls_.erase(found);
+        return;
+    }
+    item.on_end = nullptr;
+    if (!item.call.terms.idempotent)
+        return;
+    client_pool::cancel(item.exchange);
+    queue_.on_finished(std::nullopt, false, mono_now());
+    calls_.erase(found);
+    start_calls();
+}
+
+void gate::start_calls()
+{
+    auto startable = queue_.take_startable();
+    while (!startable.empty())
+    {
+        for (auto const& next : startable)
+            run(next.number);
+        // A call without time left gives its slot back at once.
+        startable = queue_.take_startable();
+    }
+}
+
+void gate::run(mesh::gate_call number)
+{
+    auto& item = calls_.at(number);
+    auto const now = mono_now();
+    item.running = true;
+    item.started = now;
+    auto const left = time_left(item.call.deadline, now);
+    if (left < least_time)
+    {
+        queue_.on_finished(std::nullopt, false, now);
+        finish(number, {.end = mesh::attempt_end::not_offered,
+                        .reason = "no_time_left"});
+        return;
+    }
+    auto& request = item.call.request;
+    request.fields.set(options_.headers.time_left_ms,
+                       std::to_string(left.count()));
+    request.fields.set(options_.headers.expected_incarnation,
+                       item.call.terms.expected.value());
+    item.exchange = pool_->start(
+        {.bytes = mesh::write_request(request),
+         .head = request.method == "HEAD",
+         .deadline = item.call.deadline + deadline_margin,
+         // A request that may not be repeated goes out only where it is sure
+         // that the upstream has not dropped the connection long ago.
+         .old_connection_allowed = item.call.terms.idempotent,
+         .matches =
+             [name = options_.headers.request_id,
+              id = item.call.id](mesh::http_response const& response)
+         {
+             auto const* echoed = response.fields.find(name);
+             return echoed != nullptr && *echoed == id.value();
+         },
+         .on_end = [this, number](exchange_result result)
+         { on_exchange_end(number, std::move(result)); }});
+}
+
+attempt_result gate::read_result(exchange_result result) const
+{
+    using mesh::attempt_end;
+    switch (result.end)
+    {
+    case exchange_end::not_connected:
+        return {.end = attempt_end::not_offered,
+                .reason = "upstream_not_connected",
+                .gate_not_ready = true};
+    case exchange_end::broken:
+        return {.end = attempt_end::unknown, .reason = "upstream_broke_off"};
+    case exchange_end::timed_out:
+        return {.end = attempt_end::timed_out, .reason = "upstream_silent"};
+    case exchange_end::answered:
+        break;
+    }
+    auto const& fields = result.response.fields;
+    if (fields.find(options_.headers.not_run) != nullptr)
+        return {.end = attempt_end::not_run,
+                .response = std::move(result.response),
+                .reason = "upstream_refused"};
+    bool const is_signed = fields.find(options_.headers.signature) != nullptr;
+    if (!is_signed || (fields.find("Content-Encoding") != nullptr))
+        return {.end = attempt_end::unknown,
+                .reason = "answer_not_of_upstream"};
+    return {.end = attempt_end::answered,
+            .response = std::move(result.response),
+            .reason = "answered"};
+}
+
+void gate::on_exchange_end(mesh::gate_call number, exchange_result result)
+{
+    auto const found = calls_.find(number);
+    if (found == calls_.end())
+        return;
+    auto const now = mono_now();
+    auto const& item = found->second;
+    if (result.end != exchange_end::answered)
+        log_event("upstream_exchange_failed", log_level::warning)
+            .add("id", item.call.id.value())
+            .add("end", to_string(result.end))
+            .add("detail", result.detail)
+            .add("after_ms",
+                 std::chrono::duration_cast<milliseconds>(now - item.started)
+                     .count());
+    auto outcome = read_result(std::move(result));
+    bool const failed = outcome.end != mesh::attempt_end::answered;
+    queue_.on_finished(now - item.started, failed, now);
+    finish(number, std::move(outcome));
+    start_calls();
+}
+
+void gate::finish(mesh::gate_call number, attempt_result result)
+{
+    auto node = calls_.extract(number);
+    if (!node.empty() && node.mapped().on_end)
+        node.mapped().on_end(std::move(result));
+}
+
+void gate::drop_waiting()
+{
+    std::vector<mesh::gate_call> waiting;
+    for (auto const& [number, item] : calls_)
+        if (!item.running)
+            waiting.push_back(number);
+    for (auto const number : waiting)
+    {
+        queue_.cancel(number);
+        finish(number, {.end = mesh::attempt_end::not_offered,
+                        .reason = "upstream_leaves",
+                        .gate_not_ready = true});
+    }
+}
+
+void gate::schedule_sweep()
+{
+    if (sweep_scheduled_ || queue_.queued() == 0)
+        return;
+    sweep_scheduled_ = true;
+    timers_.after(sweep_interval,
+                  [this]
+                  {
+                      sweep_scheduled_ = false;
+                      sweep();
+                  });
+}
+
+void gate::sweep()
+{
+    for (auto const& dropped : queue_.take_dropped(mono_now()))
+        finish(dropped.number,
+               {.end = mesh::attempt_end::not_offered,
+                .reason = std::string(mesh::to_string(dropped.reason)),
+                .retry_after = queue_.expected_wait()});
+    schedule_sweep();
+}
+
+mesh::upstream_load gate::load() const
+{
+    return queue_.load(mono_now());
+}
+
+} // namespace pollenhall::sidecar
--- /dev/null
+++ b/src/pollenhall_sidecar/gate.hpp
@@ -0,0 +1,85 @@
+// The gate to the upstream on the node's own host: the one place where calls
+// start. Checks that the upstream is the one that was meant and takes work,
+// queues, runs, and reads its answers.
+
+#pragma once
+
+#include "call.hpp"
+#include "client_pool.hpp"
+
+#include <pollenhall/mesh/gate_queue.hpp>
+#include <pollenhall/mesh/registration.hpp>
+
+#include <map>
+#include <memory>
+
+namespace pollenhall::sidecar
+{
+
+/// Settings of `gate`.
+struct gate_options
+{
+    service_name service;
+    asio::ip::tcp::endpoint upstream_address;
+    mesh::header_names headers;
+    mesh::gate_queue_options queue{};
+    /// Longest wait for a slot, as a share of a call's objective.
+    double max_wait_share = 0.5;
+    /// Longest wait of a call without an objective.
+    milliseconds default_max_wait{300};
+};
+
+/// Calls at one upstream. Used on the traffic thread.
+class gate
+{
+public:
+    gate(asio::io_context& context, deadline_timers& timers,
+         gate_options options);
+
+    /// The upstream as the control thread knows it.
+    void set_upstream(std::optional<mesh::registered_upstream> upstream);
+
+    /// Takes a call; `on_end` is called once unless the call is cancelled. It
+    /// may be called before this returns.
+    mesh::gate_call submit(mesh_call call, attempt_handler on_end);
+    /// Gives a call up without calling `on_end`. One that may not be repeated
+    /// and already runs is left to run to its end.
+    void cancel(mesh::gate_call number);
+
+    [[nodiscard]] mesh::upstream_load load() const;
+    /// Calls that wait or run.
+    [[nodiscard]] std::size_t active() const { return calls_.size(); }
+
+private:
+    struct active_call
+    {
+        mesh_call call;
+        attempt_handler on_end;
+        std::shared_ptr<client_connection> exchange{};
+        mono_time started{};
+        bool running = false;
+    };
+
+    [[nodiscard]] std::optional<std::string>
+    reason_not_ready(call_terms const& terms) const;
+    [[nodiscard]] milliseconds max_wait(mesh_call const& call) const;
+    void start_calls();
+    void run(mesh::gate_call number);
+    void on_exchange_end(mesh::gate_call number, exchange_result result);
+    [[nodiscard]] attempt_result read_result(exchange_result result) const;
+    void finish(mesh::gate_call number, attempt_result result);
+    void drop_waiting();
+    void schedule_sweep();
+    void sweep();
+
+    deadline_timers& timers_;
+    gate_options options_;
+    std::shared_ptr<client_pool> pool_;
+    mesh::gate_queue queue_;
+    std::optional<mesh::registered_upstream> upstream_;
+    std::map<mesh::gate_call, active_call> calls_;
+    std::uint64_t last_number_ = 0;
+    bool sweep_scheduled_ = false;
+};
+
+} // namespace pollenhall::sidecar
--- /dev/null
+++ b/src/pollenhall_sidecar/host_directory.cpp
@@ -0,0 +1,106 @@
+// Host entries as JSON.
+
+#include "host_directory.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <asio/ip/address.hpp>
+
+namespace pollenhall::sidecar
+{
+namespace
+{
+
+using nlohmann::json;
+
+json to_json(mesh::host_entry const& entry)
+{
+    return {{"host", entry.host.value()},
+            {"gate_port", entry.gate_port},
+            {"zone", entry.zone.value()},
+            {"service", entry.service.value()},
+            {"incarnation", entry.incarnation.value()},
+            {"slots", entry.slots},
+            {"ready", entry.ready},
+            {"cold_ms", entry.cold_left.count()},
+            {"boot", entry.boot.value()}};
+}
+
+// Throws json::exception on fields that are missing or of another type.
+mesh::host_entry from_json(json const& item)
+{
+    return {.host = mesh::host_address(item.at("host").get<std::string>()),
+            .gate_port = item.at("gate_port").get<int>(),
+            .zone = zone_name(item.at("zone").get<std::string>()),
+            .service = service_name(item.at("service").get<std::string>()),
+            .incarnation =
+                mesh::incarnation_id(item.at("incarnation").get<std::string>()),
+            .slots = item.at("slots").get<int>(),
+            .ready = item.at("ready").get<bool>(),
+            .cold_left = milliseconds(item.at("cold_ms").get<std::int64_t>()),
+            .boot = boot_id(item.at("boot").get<std::int64_t>())};
+}
+
+absl::Status check(mesh::host_entry const& entry)
+{
+    std::error_code error;
+    asio::ip::make_address(entry.host.value(), error);
+    if (error || entry.gate_port <= 0 || entry.gate_port > 65'535)
+        return absl::InvalidArgumentError("host entry has no usable address");
+    return absl::OkStatus();
+}
+
+} // namespace
+
+std::string write_host(mesh::host_entry const& entry)
+{
+    return to_json(entry).dump();
+}
+
+absl::StatusOr<mesh::host_entry> parse_host(std::string const& text)
+{
+    try
+    {
+        auto entry = from_json(json::parse(text));
+        if (auto status = check(entry); !status.ok())
+            return status;
+        return entry;
+    }
+    catch (json::exception const& error)
+    {
+        return absl::InvalidArgumentError(error.what());
+    }
+}
+
+std::string write_state(shared_state const& state)
+{
+    json hosts = json::array();
+    for (auto const& entry : state.hosts)
+        hosts.push_back(to_json(entry));
+    return json{{"configuration", state.configuration}, {"hosts", hosts}}
+        .dump();
+}
+
+absl::StatusOr<shared_state> parse_state(std::string const& text)
+{
+    try
+    {
+        auto const document = json::parse(text);
+        shared_state state{.configuration =
+                               document.at("configuration").get<std::string>()};
+        for (auto const& item : document.at("hosts"))
+        {
+            auto entry = from_json(item);
+            if (auto status = check(entry); !status.ok())
+                return status;
+            state.hosts.push_back(std::move(entry));
+        }
+        return state;
+    }
+    catch (json::exception const& error)
+    {
+        return absl::InvalidArgumentError(error.what());
+    }
+}
+
+} // namespace pollenhall::sidecar
--- /dev/null
+++ b/src/pollenhall_sidecar/origin_call.cpp
@@ -0,0 +1,290 @@
+// Attempts of one caller's request.
+
+#include "origin_call.hpp"
+
+#include "client_connection.hpp"
+
+#include <pollenhall/io/clocks.hpp>
+#include <pollenhall/io/log_event.hpp>
+
+#include <algorithm>
+
+namespace pollenhall::sidecar
+{
+namespace
+{
+
+// The gate and the upstream answer in time by themselves; the origin waits
+// this much longer before it ends a call, so that connections can be kept.
+constexpr milliseconds timeout_margin{100};
+// How long a gate that takes no work is left out.
+constexpr milliseconds not_ready_pause{250};
+// Shortest and longest time that a refused caller is asked to stay away; the
+// spread keeps callers from coming back together.
+constexpr milliseconds least_retry_after{150};
+constexpr milliseconds most_retry_after{2'000};
+
+milliseconds spread_retry_after(milliseconds expected, std::uint64_t random)
+{
+    auto const base =
+        std::clamp(expected, least_retry_after, most_retry_after).count();
+    return milliseconds(base + static_cast<std::int64_t>(
+                                   random % static_cast<std::uint64_t>(base)));
+}
+
+} // namespace
+
+origin_call::origin_call(traffic_node& node,
+                         std::shared_ptr<server_connection> caller,
+                         mesh_call call, mesh::attempt_limits limits)
+    : node_(node), caller_(std::move(caller)), call_(std::move(call)),
+      policy_(limits), arrived_(mono_now())
+{
+    ++node_.open_calls_;
+}
+
+origin_call::~origin_call()
+{
+    --node_.open_calls_;
+    node_.timers_.cancel(timeout_);
+}
+
+void origin_call::start()
+{
+    node_.allowance_.on_first_attempt(call_.terms.service);
+    // The timer and the caller's connection keep the call alive.
+    timeout_ =
+        node_.timers_.at(call_.deadline + timeout_margin,
+                         [self = shared_from_this()] { self->on_timeout(); });
+    caller_->on_abandoned(
+        [weak = weak_from_this()]
+        {
+            if (auto self = weak.lock())
+                self->on_abandoned();
+        });
+    attempt();
+}
+
+void origin_call::attempt()
+{
+    auto const now = mono_now();
+    auto const* host = node_.placement_.choose(call_.terms.service, tried_,
+                                               node_.random_(), now);
+    if (host == nullptr)
+        return answer(
+            mesh::next_step::refuse,
+            {.end = mesh::attempt_end::not_offered, .reason = "no_upstream"});
+    ++attempts_;
+    call_.terms.expected = host->incarnation;
+    tried_.push_back(host->host);
+    at_ = host->host;
+    node_.placement_.on_sent(host->host);
+    if (host->host == node_.options_.host)
+        send_to_gate();
+    else
+        send_to_peer(*host);
+}
+
+void origin_call::send_to_gate()
+{
+    auto const number = node_.gate_.submit(
+        call_,
+        [weak = weak_from_this()](attempt_result result)
+        {
+            auto const self = weak.lock();
+            if (!self || self->done_)
+                return;
+            self->node_.placement_.on_finished(*self->at_);
+            self->node_.placement_.on_load(*self->at_, self->node_.gate_.load(),
+                                           mono_now());
+            self->on_attempt_end(std::move(result));
+        });
+    // The gate may have answered already, and a next attempt be under way.
+    if (!done_ && at_ && *at_ == node_.options_.host)
+        at_gate_ = number;
+}
+
+void origin_call::send_to_peer(mesh::host_entry const& host)
+{
+    auto request = call_.request;
+    request.fields.set(
+        node_.options_.headers.time_left_ms,
+        std::to_string(time_left(call_.deadline, mono_now()).count()));
+    request.fields.set(terms_field, write_terms(call_.terms));
+    exchange_ = node_.peer_pool(host)->start(
+        {.bytes = mesh::write_request(request),
+         .head = request.method == "HEAD",
+         .deadline = call_.deadline + timeout_margin,
+         .old_connection_allowed = call_.terms.idempotent,
+         .matches =
+             [name = node_.options_.headers.request_id,
+              id = call_.id](mesh::http_response const& response)
+         {
+             auto const* echoed = response.fields.find(name);
+             return echoed != nullptr && *echoed == id.value();
+         },
+         .on_end =
+             [weak = weak_from_this(), at = host.host](exchange_result result)
+         {
+             if (auto self = weak.lock(); self && !self->done_)
+                 self->on_peer_end(at, std::move(result));
+         }});
+}
+
+void origin_call::on_peer_end(mesh::host_address const& host,
+                              exchange_result result)
+{
+    exchange_.reset();
+    node_.placement_.on_finished(host);
+    on_attempt_end(read_peer_result(host, std::move(result)));
+}
+
+attempt_result origin_call::read_peer_result(mesh::host_address const& host,
+                                             exchange_result result)
+{
+    using mesh::attempt_end;
+    auto const now = mono_now();
+    switch (result.end)
+    {
+    case exchange_end::not_connected:
+        node_.placement_.on_unreachable(host, now);
+        return {.end = attempt_end::not_offered, .reason = "peer_unreachable"};
+    case exchange_end::broken:
+        node_.placement_.on_unreachable(host, now);
+        return {.end = attempt_end::unknown, .reason = "peer_broke_off"};
+    case exchange_end::timed_out:
+        return {.end = attempt_end::timed_out, .reason = "peer_silent"};
+    case exchange_end::answered:
+        break;
+    }
+    auto const* field = result.response.fields.find(result_field);
+    auto const report = field == nullptr ? std::nullopt : parse_report(*field);
+    if (!report)
+        return {.end = attempt_end::unknown, .reason = "peer_answer_unread"};
+    result.response.fields.remove(result_field);
+    node_.placement_.on_load(host, report->load, now);
+    node_.note_version(report->version, host);
+    if (report->gate_not_ready)
+        node_.placement_.on_not_ready(host, not_ready_pause, now);
+    return {.end = report->end,
+            .response = std::move(result.response),
+            .reason = report->reason,
+            .gate_not_ready = report->gate_not_ready,
+            .retry_after = report->retry_after};
+}
+
+void origin_call::on_attempt_end(attempt_result result)
+{
+    auto const keep = shared_from_this();
+    if (result.gate_not_ready && at_)
+        node_.placement_.on_not_ready(*at_, not_ready_pause, mono_now());
+    at_.reset();
+    at_gate_.reset();
+    bool const elsewhere = node_.placement_.choose(call_.terms.service, tried_,
+                                                   0, mono_now()) != nullptr;
+    auto const step = policy_.on_end(
+        result.end, elsewhere,
+        [&] { return node_.allowance_.spend(call_.terms.service); });
+    if (step == mesh::next_step::place_again || step == mesh::next_step::repeat)
+    {
+        if (step == mesh::next_step::repeat)
+        {
+            call_.terms.is_repeat = true;
+            ++node_.counters_.repeats;
+        }
+        log_event("call_placed_again")
+            .add("id", call_.id.value())
+            .add("service", call_.terms.service.value())
+            .add("after", mesh::to_string(result.end))
+            .add("reason", result.reason)
+            .add("at", tried_.back().value())
+            .add("counts_as_repeat", step == mesh::next_step::repeat);
+        return attempt();
+    }
+    answer(step, result);
+}
+
+void origin_call::on_timeout()
+{
+    if (done_)
+        return;
+    auto const keep = shared_from_this();
+    cancel_attempt();
+    answer(mesh::next_step::time_out,
+           {.end = mesh::attempt_end::timed_out, .reason = "deadline"});
+}
+
+void origin_call::on_abandoned()
+{
+    if (done_)
+        return;
+    auto const keep = shared_from_this();
+    ++node_.counters_.abandoned;
+    cancel_attempt();
+    done_ = true;
+    node_.timers_.cancel(timeout_);
+}
+
+void origin_call::cancel_attempt()
+{
+    if (!at_)
+        return;
+    node_.placement_.on_finished(*at_);
+    if (at_gate_)
+        node_.gate_.cancel(*at_gate_);
+    client_pool::cancel(exchange_);
+    exchange_.reset();
+    at_.reset();
+    at_gate_.reset();
+}
+
+void origin_call::answer(mesh::next_step step, attempt_result const& result)
+{
+    auto const& id = call_.id.value();
+    if (step == mesh::next_step::deliver)
+    {
+        ++node_.counters_.answered;
+        auto response = result.response;
+        response.fields.remove_hop_by_hop();
+        return finish(mesh::write_response(
+            response, call_.request.method,
+            node_.stopping_ ? "Connection: close\r\n" : ""));
+    }
+    auto const waited =
+        std::chrono::duration_cast<milliseconds>(mono_now() - arrived_);
+    log_event("call_not_served", log_level::warning)
+        .add("id", id)
+        .add("service", call_.terms.service.value())
+        .add("end", mesh::to_string(result.end))
+        .add("reason", result.reason)
+        .add("attempts", attempts_)
+        .add("after_ms", waited.count())
+        .add("time_left_ms", time_left(call_.deadline, mono_now()).count())
+        .add("priority", call_.terms.priority)
+        .add("version", call_.terms.version.value());
+    switch (step)
+    {
+    case mesh::next_step::refuse:
+        ++node_.counters_.refused;
+        return finish(node_.own_answer(
+            503, result.reason, id,
+            spread_retry_after(result.retry_after, node_.random_())));
+    case mesh::next_step::time_out:
+        ++node_.counters_.timed_out;
+        return finish(
+            node_.own_answer(504, result.reason, id, milliseconds{0}));
+    default:
+        ++node_.counters_.unknown;
+        return finish(
+            node_.own_answer(502, result.reason, id, milliseconds{0}));
+    }
+}
+
+void origin_call::finish(std::string bytes)
+{
+    done_ = true;
+    node_.timers_.cancel(timeout_);
+    caller_->respond(std::move(bytes), node_.stopping_);
+}
+
+} // namespace pollenhall::sidecar
--- /dev/null
+++ b/src/pollenhall_sidecar/origin_call.hpp
@@ -0,0 +1,53 @@
+// One request of a caller from its arrival to its answer: attempts at
+// upstreams, within its time and its allowance of repeats.
+
+#pragma once
+
+#include "traffic_node.hpp"
+
+namespace pollenhall::sidecar
+{
+
+/// A request of a caller on this host. Lives until it is answered or given up.
+class origin_call : public std::enable_shared_from_this<origin_call>
+{
+public:
+    origin_call(traffic_node& node, std::shared_ptr<server_connection> caller,
+                mesh_call call, mesh::attempt_limits limits);
+    ~origin_call();
+    origin_call(origin_call const&) = delete;
+    origin_call& operator=(origin_call const&) = delete;
+
+    void start();
+
+private:
+    void attempt();
+    void send_to_gate();
+    void send_to_peer(mesh::host_entry const& host);
+    void on_peer_end(mesh::host_address const& host, exchange_result result);
+    [[nodiscard]] attempt_result
+    read_peer_result(mesh::host_address const& host, exchange_result result);
+    void on_attempt_end(attempt_result result);
+    void on_timeout();
+    void on_abandoned();
+    void cancel_attempt();
+    void answer(mesh::next_step step, attempt_result const& result);
+    void finish(std::string bytes);
+
+    traffic_node& node_;
+    std::shared_ptr<server_connection> caller_;
+    mesh_call call_;
+    mesh::attempt_policy policy_;
+    // Hosts that were tried.
+    std::vector<mesh::host_address> tried_;
+    // Where the attempt under way is; empty between attempts.
+    std::optional<mesh::host_address> at_;
+    std::optional<mesh::gate_call> at_gate_;
+    std::shared_ptr<client_connection> exchange_;
+    deadline_timers::handle timeout_;
+    mono_time arrived_;
+    int attempts_ = 0;
+    bool done_ = false;
+};
+
+} // namespace pollenhall::sidecar
--- /dev/null
+++ b/src/pollenhall_sidecar/shared_store.hpp
@@ -0,0 +1,77 @@
+// The platform's key-value store as the control thread uses it. Implemented
+// by `platform/`.
+
+#pragma once
+
+#include <pollenhall/ids.hpp>
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <absl/status/statusor.h>
+
+namespace pollenhall::sidecar
+{
+
+/// Revision of the store; grows with each change. 0 stands for none.
+using store_revision = strong_value<struct store_revision_tag, std::int64_t>;
+
+/// A key and its value, or that it was removed.
+struct store_item
+{
+    std::string key;
+    // Empty if the key was removed.
+    std::optional<std::string> value;
+    // Of the last change of this key.
+    store_revision revision;
+};
+
+/// Items under a prefix, or changes of them, up to a revision.
+struct store_items
+{
+    std::vector<store_item> items;
+    store_revision at;
+};
+
+/// Where things lie in the store.
+struct store_layout
+{
+    /// Key of the operator's configuration.
+    std::string configuration_key;
+    /// Prefix of the entries of hosts; followed by the host's address.
+    std::string hosts_prefix;
+    /// Prefix of all of the above.
+    std::string common_prefix;
+};
+
+/// The store. Handlers are called on the control thread, later, once. Errors:
+/// `OutOfRange` if the history is gone, `FailedPrecondition` if a condition
+/// does not hold (nothing was done), `ResourceExhausted` and `Unavailable` if
+/// nothing was done, `Unknown` if a write may or may not have been done.
+class shared_store
+{
+public:
+    template <class Value>
+    using handler = std::function<void(absl::StatusOr<Value>)>;
+
+    virtual ~shared_store() = default;
+
+    /// Reads all items under a prefix.
+    virtual void read(std::string const& prefix,
+                      handler<store_items> on_end) = 0;
+    /// Waits for changes after a revision, at most `wait`; none is no error.
+    virtual void watch(std::string const& prefix, store_revision after,
+                       milliseconds wait, handler<store_items> on_end) = 0;
+    /// Sets a key if its revision is `expected`, 0 for a key that does not
+    /// exist; gives the new revision.
+    virtual void write(std::string const& key, std::string const& value,
+                       store_revision expected,
+                       handler<store_revision> on_end) = 0;
+    /// Removes a key if its revision is `expected`.
+    virtual void remove(std::string const& key, store_revision expected,
+                        handler<store_revision> on_end) = 0;
+};
+
+} // namespace pollenhall::sidecar
--- /dev/null
+++ b/src/pollenhall_sidecar/traffic_node.cpp
@@ -0,0 +1,366 @@
+// Takes requests of callers and calls of peers.
+
+#include "traffic_node.hpp"
+
+#include "origin_call.hpp"
+
+#include <pollenhall/io/clocks.hpp>
+#include <pollenhall/io/log_event.hpp>
+
+#include <algorithm>
+#include <charconv>
+
+namespace pollenhall::sidecar
+{
+
+std::string const state_path = "/mesh/state";
+
+namespace
+{
+
+// Time that a caller is taken to wait if it does not say.
+constexpr milliseconds default_patience{10'000};
+// A peer on the same network connects in a few ms; one that doesn't is cut
+// off or down, and another upstream is tried.
+constexpr milliseconds peer_connect_timeout{300};
+// Peers keep idle connections longer than the client side uses them.
+constexpr milliseconds peer_idle_timeout{60'000};
+constexpr milliseconds peer_pool_idle{20'000};
+// Without a configuration a caller is asked to come back after this time.
+constexpr milliseconds no_configuration_pause{300};
+// After a request to stop, callers are taken away after two missed checks of
+// readiness, a second apart; until then new requests are still taken.
+constexpr milliseconds least_stop_time{2'300};
+// Silence after which no more requests are expected.
+constexpr milliseconds quiet_time{400};
+// Share of the stop time after which calls of peers are sent elsewhere.
+constexpr double peers_share = 0.2;
+constexpr milliseconds stop_check_interval{50};
+
+std::optional<milliseconds> parse_ms(std::string const* text)
+{
+    if (text == nullptr)
+        return std::nullopt;
+    std::int64_t value = 0;
+    auto const [end, error] =
+        std::from_chars(text->data(), text->data() + text->size(), value);
+    if (error != std::errc{} || end != text->data() + text->size() || value < 0)
+        return std::nullopt;
+    return milliseconds(value);
+}
+
+} // namespace
+
+traffic_node::traffic_node(asio::io_context& context, node_options options)
+    : context_(context), options_(std::move(options)), timers_(context),
+      gate_(context, timers_,
+            {.service = options_.service,
+             .upstream_address = options_.upstream,
+             .headers = options_.headers}),
+      placement_({.own_zone = options_.zone, .own_host = options_.host}),
+      allowance_(options_.retries),
+      callers_(
+          context, timers_,
+          {.on_request = [this](auto const& from, auto request)
+           { on_caller_request(from, std::move(request)); },
+           .on_fault =
+               [this](request_fault fault)
+           {
+               int const status = fault == request_fault::header_too_large ? 431
+                                  : fault == request_fault::body_too_large ? 413
+                                  : fault == request_fault::header_timeout
+                                      ? 408
+                                      : 400;
+               log_event("request_not_readable", log_level::warning)
+                   .add("status", status);
+               return own_answer(status, "not_readable", {}, milliseconds{0});
+           },
+           .limits =
+               [this]
+           {
+               mesh::caller_limits const limits =
+                   routes_ ? routes_->config().limits : mesh::caller_limits{};
+               return server_limits{
+                   .reader = {.header_bytes = limits.header_bytes,
+                              .body_bytes = limits.body_bytes},
+                   .header_timeout = limits.header_timeout,
+                   .idle_timeout = limits.idle_timeout};
+           }}),
+      peers_(context, timers_,
+             {.on_request = [this](auto const& from, auto request)
+              { on_gate_request(from, std::move(request)); },
+              .on_fault =
+                  [this](request_fault)
+              {
+                  log_event("peer_request_not_readable", log_level::warning);
+                  return own_answer(400, "not_readable", {}, milliseconds{0});
+              },
+              .limits =
+                  []
+              {
+                  // Peers have checked sizes; their header adds one field.
+                  return server_limits{.reader = {.header_bytes = 65'536},
+                                       .idle_timeout = peer_idle_timeout};
+              }}),
+      random_(std::random_device{}())
+{
+}
+
+absl::Status traffic_node::open()
+{
+    if (auto status = callers_.open(options_.outbound); !status.ok())
+        return status;
+    return peers_.open(options_.gate);
+}
+
+void traffic_node::set_routes(std::shared_ptr<mesh::route_table const> routes)
+{
+    routes_ = std::move(routes);
+}
+
+void traffic_node::set_shared_state(std::shared_ptr<std::string const> state)
+{
+    shared_state_ = std::move(state);
+}
+
+void traffic_node::set_hosts(std::vector<mesh::host_entry> hosts)
+{
+    placement_.set_hosts(hosts, mono_now());
+    allowance_.set_nodes(hosts.size());
+    std::erase_if(pools_,
+                  [&](auto const& item)
+                  {
+                      return std::none_of(hosts.begin(), hosts.end(),
+                                          [&](auto const& host)
+                                          { return host.host == item.first; });
+                  });
+}
+
+void traffic_node::set_upstream(
+    std::optional<mesh::registered_upstream> upstream)
+{
+    gate_.set_upstream(std::move(upstream));
+}
+
+std::shared_ptr<client_pool>
+traffic_node::peer_pool(mesh::host_entry const& host)
+{
+    auto& pool = pools_[host.host];
+    if (!pool)
+        pool = std::make_shared<client_pool>(
+            context_, timers_,
+            asio::ip::tcp::endpoint(asio::ip::make_address(host.host.value()),
+                                    static_cast<std::uint16_t>(host.gate_port)),
+            client_pool_options{.connect_timeout = peer_connect_timeout,
+                                .idle_time = peer_pool_idle,
+                                .old_after = peer_pool_idle});
+    return pool;
+}
+
+std::string traffic_node::own_answer(int status, std::string_view reason,
+                                     std::string const& id,
+                                     milliseconds retry_after) const
+{
+    mesh::http_response response{.status = status};
+    if (!id.empty())
+        response.fields.add(options_.headers.request_id, id);
+    if (retry_after.count() > 0)
+    {
+        auto const ms = std::to_string(1'000 + retry_after.count() % 1'000);
+        response.fields.add(options_.headers.retry_after,
+                            std::to_string(retry_after.count() / 1'000) + "." +
+                                ms.substr(1));
+    }
+    response.body = std::string(reason) + "\n";
+    return mesh::write_response(response, "GET",
+                                stopping_ ? "Connection: close\r\n" : "");
+}
+
+void traffic_node::refuse(std::shared_ptr<server_connection> const& to,
+                          int status, std::string_view reason,
+                          std::string const& id, milliseconds retry_after)
+{
+    log_event("request_refused", log_level::warning)
+        .add("id", id)
+        .add("status", status)
+        .add("reason", reason)
+        .add("version",
+             routes_ ? routes_->config().version.value() : std::int64_t{0});
+    ++counters_.refused;
+    to->respond(own_answer(status, reason, id, retry_after), stopping_);
+}
+
+void traffic_node::on_caller_request(
+    std::shared_ptr<server_connection> const& from, mesh::http_request request)
+{
+    last_request_ = mono_now();
+    auto const& names = options_.headers;
+    auto const* id = request.fields.find(names.request_id);
+    if (id == nullptr || id->empty() ||
+        request.fields.count(names.request_id) != 1)
+        return refuse(from, 400, "no_request_id", {}, milliseconds{0});
+    if (!routes_)
+        return refuse(from, 503, "no_configuration", *id,
+                      no_configuration_pause);
+    auto const* host = request.fields.find("Host");
+    auto const* route =
+        host == nullptr ? nullptr : routes_->find(*host, request.target);
+    if (route == nullptr)
+        return refuse(from, 404, "no_route", *id, milliseconds{0});
+    auto patience = parse_ms(request.fields.find(names.time_left_ms))
+                        .value_or(default_patience);
+    if (route->timeout.count() > 0)
+        patience = std::min(patience, route->timeout);
+
+    mesh_call call{.id = request_id(*id),
+                   .terms = {.service = rotation_.next(*route),
+                             .idempotent = route->idempotent,
+                             .priority = route->priority,
+                             .objective = route->objective,
+                             .version = routes_->config().version},
+                   .deadline = last_request_ + patience};
+    mesh::attempt_limits const limits{.idempotent = route->idempotent,
+                                      .attempts = route->attempts};
+    request.fields.remove_hop_by_hop();
+    for (auto const* name :
+         {&names.expected_incarnation, &names.not_run, &names.incarnation,
+          &names.signature, &terms_field, &result_field})
+        request.fields.remove(*name);
+    request.fields.set(names.caller_service, options_.service.value());
+    call.request = std::move(request);
+    std::make_shared<origin_call>(*this, from, std::move(call), limits)
+        ->start();
+}
+
+void traffic_node::on_gate_request(
+    std::shared_ptr<server_connection> const& from, mesh::http_request request)
+{
+    ++counters_.gate_calls;
+    last_request_ = mono_now();
+    auto const& names = options_.headers;
+    if (request.method == "GET" && request.target == state_path)
+    {
+        mesh::http_response response{.status = shared_state_ ? 200 : 503};
+        if (shared_state_)
+            response.body = *shared_state_;
+        return from->respond(mesh::write_response(response, "GET"), false);
+    }
+    auto const* id = request.fields.find(names.request_id);
+    auto const* terms_text = request.fields.find(terms_field);
+    auto const terms =
+        terms_text == nullptr ? std::nullopt : parse_terms(*terms_text);
+    auto const patience = parse_ms(request.fields.find(names.time_left_ms));
+    if (id == nullptr || !terms || !patience)
+        return from->respond(own_answer(400, "not_a_call", {}, milliseconds{0}),
+                             true);
+    note_version(terms->version, mesh::host_address(from->remote_host()));
+    mesh_call call{.id = request_id(*id),
+                   .terms = *terms,
+                   .deadline = last_request_ + *patience};
+    auto const method = request.method;
+    request.fields.remove_hop_by_hop();
+    request.fields.remove(terms_field);
+    call.request = std::move(request);
+    if (stopping_ &&
+        mono_now() - stop_began_ > std::chrono::duration_cast<microseconds>(
+                                       (stop_at_ - stop_began_) * peers_share))
+        return answer_peer(from, method, call.id,
+                           {.end = mesh::attempt_end::not_offered,
+                            .reason = "node_stopping",
+                            .gate_not_ready = true});
+    ++open_gate_calls_;
+    // Set once the gate has an answer, which may be before submit returns.
+    auto const answered = std::make_shared<bool>(false);
+    auto const number = gate_.submit(
+        call,
+        [this, from, method, answered, id = call.id](attempt_result result)
+        {
+            *answered = true;
+            --open_gate_calls_;
+            answer_peer(from, method, id, std::move(result));
+        });
+    if (*answered)
+        return;
+    from->on_abandoned(
+        [this, number, answered]
+        {
+            if (*answered)
+                return;
+            *answered = true;
+            --open_gate_calls_;
+            gate_.cancel(number);
+        });
+}
+
+void traffic_node::answer_peer(std::shared_ptr<server_connection> const& to,
+                               std::string const& method, request_id const& id,
+                               attempt_result result)
+{
+    gate_report const report{.end = result.end,
+                             .reason = result.reason,
+                             .gate_not_ready = result.gate_not_ready,
+                             .retry_after = result.retry_after,
+                             .version = routes_ ? routes_->config().version
+                                                : mesh::config_version(),
+                             .load = gate_.load()};
+    auto& response = result.response;
+    if (result.end != mesh::attempt_end::answered)
+        response = {.status = result.end == mesh::attempt_end::timed_out ? 504
+                              : result.end == mesh::attempt_end::unknown ? 502
+                                                                         : 503};
+    response.fields.remove_hop_by_hop();
+    response.fields.set(options_.headers.request_id, id.value());
+    response.fields.set(result_field, write_report(report));
+    to->respond(mesh::write_response(response, method,
+                                     stopping_ ? "Connection: close\r\n" : ""),
+                stopping_);
+}
+
+void traffic_node::note_version(mesh::config_version version,
+                                mesh::host_address const& host)
+{
+    auto const known =
+        routes_ ? routes_->config().version : mesh::config_version();
+    if (version > known && on_newer_version_)
+        on_newer_version_(version, host);
+}
+
+void traffic_node::stop(milliseconds grace, std::function<void()> on_stopped)
+{
+    if (stopping_)
+        return;
+    stopping_ = true;
+    stop_began_ = mono_now();
+    stop_at_ = stop_began_ + grace;
+    on_stopped_ = std::move(on_stopped);
+    check_stopped();
+}
+
+void traffic_node::check_stopped()
+{
+    if (!stopping_ || !on_stopped_)
+        return;
+    auto const now = mono_now();
+    bool const quiet = open_calls_ == 0 && open_gate_calls_ == 0 &&
+                       gate_.active() == 0 &&
+                       now - last_request_ >= quiet_time &&
+                       now - stop_began_ >= least_stop_time;
+    if (!quiet && now < stop_at_)
+    {
+        timers_.after(stop_check_interval, [this] { check_stopped(); });
+        return;
+    }
+    log_event("traffic_stopped")
+        .add("open_calls", static_cast<std::int64_t>(open_calls_))
+        .add("open_gate_calls", static_cast<std::int64_t>(open_gate_calls_))
+        .add("after_ms",
+             std::chrono::duration_cast<milliseconds>(now - stop_began_)
+                 .count());
+    callers_.stop_accepting();
+    peers_.stop_accepting();
+    callers_.close_idle();
+    peers_.close_idle();
+    std::exchange(on_stopped_, nullptr)();
+}
+
+} // namespace pollenhall::sidecar
--- /dev/null
+++ b/src/pollenhall_sidecar/traffic_node.hpp
@@ -0,0 +1,110 @@
+// The traffic thread's part of a node: takes requests of callers on this
+// host, places them, and takes calls of peers to the gate.
+
+#pragma once
+
+#include "client_pool.hpp"
+#include "gate.hpp"
+#include "listener.hpp"
+#include "node_options.hpp"
+
+#include <atomic>
+#include <random>
+
+namespace pollenhall::sidecar
+{
+
+class origin_call;
+
+/// Path at the gate's address under which peers ask for the shared state.
+extern std::string const state_path;
+
+/// Counters that other threads read.
+struct traffic_counters
+{
+    std::atomic<std::uint64_t> answered{0};
+    std::atomic<std::uint64_t> refused{0};
+    std::atomic<std::uint64_t> unknown{0};
+    std::atomic<std::uint64_t> timed_out{0};
+    std::atomic<std::uint64_t> repeats{0};
+    std::atomic<std::uint64_t> abandoned{0};
+    std::atomic<std::uint64_t> gate_calls{0};
+};
+
+/// Serves calls. All members but the constructor, `post` targets and
+/// `counters` are used on the traffic thread.
+class traffic_node
+{
+public:
+    traffic_node(asio::io_context& context, node_options options);
+
+    absl::Status open();
+
+    void set_routes(std::shared_ptr<mesh::route_table const> routes);
+    void set_hosts(std::vector<mesh::host_entry> hosts);
+    void set_upstream(std::optional<mesh::registered_upstream> upstream);
+    /// What peers are told that ask for the configuration and the hosts.
+    void set_shared_state(std::shared_ptr<std::string const> state);
+    /// Called with the version of a configuration that a peer knows and this
+    /// node doesn't, and the peer's host.
+    void on_newer_version(
+        std::function<void(mesh::config_version, mesh::host_address)> action)
+    {
+        on_newer_version_ = std::move(action);
+    }
+
+    /// Answers what was taken, takes what comes, and calls `on_stopped` when
+    /// nothing is left or `grace` is over.
+    void stop(milliseconds grace, std::function<void()> on_stopped);
+
+    [[nodiscard]] traffic_counters const& counters() const { return counters_; }
+
+private:
+    friend class origin_call;
+
+    void on_caller_request(std::shared_ptr<server_connection> const& from,
+                           mesh::http_request request);
+    void on_gate_request(std::shared_ptr<server_connection> const& from,
+                         mesh::http_request request);
+    void answer_peer(std::shared_ptr<server_connection> const& to,
+                     std::string const& method, request_id const& id,
+                     attempt_result result);
+    void refuse(std::shared_ptr<server_connection> const& to, int status,
+                std::string_view reason, std::string const& id,
+                milliseconds retry_after);
+    [[nodiscard]] std::string own_answer(int status, std::string_view reason,
+                                         std::string const& id,
+                                         milliseconds retry_after) const;
+    void note_version(mesh::config_version version,
+                      mesh::host_address const& host);
+    std::shared_ptr<client_pool> peer_pool(mesh::host_entry const& host);
+    void check_stopped();
+
+    asio::io_context& context_;
+    node_options options_;
+    deadline_timers timers_;
+    gate gate_;
+    mesh::placement placement_;
+    mesh::retry_allowance allowance_;
+    mesh::split_rotation rotation_;
+    std::shared_ptr<mesh::route_table const> routes_;
+    std::shared_ptr<std::string const> shared_state_;
+    std::map<mesh::host_address, std::shared_ptr<client_pool>> pools_;
+    listener callers_;
+    listener peers_;
+    traffic_counters counters_;
+    std::mt19937_64 random_;
+    std::function<void(mesh::config_version, mesh::host_address)>
+        on_newer_version_;
+    // Calls taken from callers that have no answer yet.
+    std::size_t open_calls_ = 0;
+    // Calls taken from peers that have no answer yet.
+    std::size_t open_gate_calls_ = 0;
+    mono_time last_request_{};
+    bool stopping_ = false;
+    mono_time stop_began_{};
+    mono_time stop_at_{};
+    std::function<void()> on_stopped_;
+};
+
+} // namespace pollenhall::sidecar
