--- a/src/pollenhall_sidecar/traffic_node.cpp
+++ b/src/pollenhall_sidecar/traffic_node.cpp
@@ -36,6 +36,11 @@
 // Share of the stop time after which calls of peers are sent elsewhere.
 constexpr double peers_share = 0.2;
 constexpr milliseconds stop_check_interval{50};
+// Share of the stop time after which requests of callers are refused: what is
+// taken later might not end before the process does.
+constexpr double callers_share = 0.55;
+// Time that the platform needs to start the process again.
+constexpr milliseconds restart_time{800};
 
 std::optional<milliseconds> parse_ms(std::string const* text)
 {
@@ -202,6 +207,9 @@
     if (!routes_)
         return refuse(from, 503, "no_configuration", *id,
                       no_configuration_pause);
+    if (stopping_ && stop_share_used() > callers_share)
+        return refuse(from, 503, "node_stopping", *id,
+                      time_left(stop_at_, last_request_) + restart_time);
     auto const* host = request.fields.find("Host");
     auto const* route =
         host == nullptr ? nullptr : routes_->find(*host, request.target);
@@ -325,6 +333,12 @@
         on_newer_version_(version, host);
 }
 
+double traffic_node::stop_share_used() const
+{
+    return std::chrono::duration<double>(mono_now() - stop_began_) /
+           std::chrono::duration<double>(stop_at_ - stop_began_);
+}
+
 void traffic_node::stop(milliseconds grace, std::function<void()> on_stopped)
 {
     if (stopping_)
--- a/src/pollenhall_sidecar/traffic_node.hpp
+++ b/src/pollenhall_sidecar/traffic_node.hpp
@@ -79,6 +79,8 @@
                       mesh::host_address const& host);
     std::shared_ptr<client_pool> peer_pool(mesh::host_entry const& host);
     void check_stopped();
+    // Share of the time to stop that is over; only while stopping.
+    [[nodiscard]] double stop_share_used() const;
 
     asio::io_context& context_;
     node_options options_;
