--- a/src/include/pollenhall/mesh/attempt_policy.hpp
+++ b/src/include/pollenhall/mesh/attempt_policy.hpp
@@ -72,11 +72,12 @@
     bool spend(service_name const& service);
 
 private:
-    [[nodiscard]] double burst() const;
+    // The node's part of the slack.
+    [[nodiscard]] double slack_share() const;
 
     retry_allowance_options options_;
     std::size_t nodes_ = 1;
-    // Repeats saved up, from 0 to burst().
+    // Repeats saved up, from 0 to the part of the slack or 1.
     std::map<service_name, double> tokens_;
 };
 
--- a/src/libpollenhall_mesh/attempt_policy.cpp
+++ b/src/libpollenhall_mesh/attempt_policy.cpp
@@ -20,10 +20,9 @@
 {
 }
 
-double retry_allowance::burst() const
+double retry_allowance::slack_share() const
 {
-    return std::max(1.0, options_.slack * options_.use_share /
-                             static_cast<double>(nodes_));
+    return options_.slack * options_.use_share / static_cast<double>(nodes_);
 }
 
 void retry_allowance::set_nodes(std::size_t nodes)
@@ -33,9 +32,12 @@
 
 void retry_allowance::on_first_attempt(service_name const& service)
 {
-    auto const [found, is_new] = tokens_.try_emplace(service, burst());
+    auto const found = tokens_.try_emplace(service, slack_share()).first;
+    // Of many nodes each has less than one repeat of the slack, but may save
+    // up one from the ratio.
     found->second =
-        std::min(burst(), found->second + options_.ratio * options_.use_share);
+        std::min(std::max(1.0, slack_share()),
+                 found->second + options_.ratio * options_.use_share);
 }
 
 bool retry_allowance::spend(service_name const& service)
--- /dev/null
+++ b/src/libpollenhall_mesh/configuration_test.cpp
@@ -0,0 +1,101 @@
+// Tests how routes are found, and how split traffic is dealt.
+
+#include <pollenhall/mesh/configuration.hpp>
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <cmath>
+#include <map>
+
+namespace
+{
+
+using namespace pollenhall;
+using namespace pollenhall::mesh;
+
+route make_route(char const* name, char const* host, char const* prefix)
+{
+    return {.name = route_name(name),
+            .host = host,
+            .prefix = prefix,
+            .parts = {{.service = service_name(name)}}};
+}
+
+} // namespace
+
+TEST_CASE("a route table")
+{
+    route_table const table(
+        {.version = config_version(3),
+         .routes = {make_route("wide", "a.example", "/x/"),
+                    make_route("narrow", "a.example", "/x/y/"),
+                    make_route("other", "b.example", "/x/")}});
+    auto const name = [&](char const* host, char const* path)
+    {
+        auto const* found = table.find(host, path);
+        return found == nullptr ? std::string("none") : found->name.value();
+    };
+
+    SUBCASE("finds the longest prefix of the host")
+    {
+        CHECK(name("a.example", "/x/y/z") == "narrow");
+        CHECK(name("a.example", "/x/z") == "wide");
+        CHECK(name("b.example", "/x/y/z") == "other");
+    }
+    SUBCASE("ignores port and case of the host, and the query")
+    {
+        CHECK(name("A.Example:80", "/x/") == "wide");
+        CHECK(name("a.example", "/x?/y/") == "none");
+    }
+    SUBCASE("has no route for another host or path")
+    {
+        CHECK(name("c.example", "/x/") == "none");
+        CHECK(name("a.example", "/x") == "none");
+        CHECK(name("a.example", "/xy/") == "none");
+    }
+}
+
+TEST_CASE("split traffic follows its weights in any run of requests")
+{
+    CHECK(rc::check(
+        []
+        {
+            auto split = make_route("r", "a", "/");
+            split.parts.clear();
+            auto const parts = *rc::gen::inRange(2, 5);
+            double total = 0;
+            for (int i = 0; i < parts; ++i)
+            {
+                auto const weight = *rc::gen::inRange(1, 100);
+                total += weight;
+                split.parts.push_back(
+                    {.service = service_name(std::to_string(i)),
+                     .weight = static_cast<double>(weight)});
+            }
+            split_rotation rotation;
+            std::map<service_name, int> dealt;
+            auto const requests = *rc::gen::inRange(1, 400);
+            for (int i = 0; i < requests; ++i)
+                ++dealt[rotation.next(split)];
+            for (auto const& part : split.parts)
+                RC_ASSERT(std::abs(dealt[part.service] -
+                                   requests * part.weight / total) <= parts);
+        }));
+
+    SUBCASE("also after the weights change")
+    {
+        auto split = make_route("r", "a", "/");
+        split.parts = {{.service = service_name("a"), .weight = 90},
+                       {.service = service_name("b"), .weight = 10}};
+        split_rotation rotation;
+        for (int i = 0; i < 7; ++i)
+            rotation.next(split);
+        split.parts[0].weight = 50;
+        split.parts[1].weight = 50;
+        int first = 0;
+        for (int i = 0; i < 100; ++i)
+            first += rotation.next(split) == service_name("a") ? 1 : 0;
+        CHECK(first == 50);
+    }
+}
--- a/src/libpollenhall_mesh/http_reader.cpp
+++ b/src/libpollenhall_mesh/http_reader.cpp
@@ -133,7 +133,8 @@
                            });
     };
     for (auto const& field : fields_.all())
-        if (field.name.empty() || has_control(field.value))
+        if (field.name.empty() || has_control(field.value) ||
+            field.name.find_first_of(" \t") != std::string::npos)
             return false;
     if (parser_.http_major != 1)
         return false;
--- /dev/null
+++ b/src/libpollenhall_mesh/http_reader_test.cpp
@@ -0,0 +1,232 @@
+// Tests that messages are read one at a time, and that nothing ambiguous is
+// taken or passed on.
+
+#include <pollenhall/mesh/http_reader.hpp>
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <vector>
+
+namespace
+{
+
+using namespace pollenhall::mesh;
+
+struct read_outcome
+{
+    std::vector<http_request> requests;
+    read_status last = read_status::need_more;
+};
+
+/// Feeds `bytes` in pieces of `piece` bytes.
+read_outcome read_requests(std::string const& bytes, std::size_t piece,
+                           http_reader_limits limits = {})
+{
+    http_reader reader(http_reader::direction::request, limits);
+    read_outcome outcome;
+    std::string ahead;
+    for (std::size_t at = 0; at < bytes.size(); at += piece)
+    {
+        ahead += bytes.substr(at, piece);
+        std::string_view rest = ahead;
+        while (!rest.empty())
+        {
+            outcome.last = reader.feed(rest);
+            if (outcome.last == read_status::complete)
+                outcome.requests.push_back(reader.take_request());
+            else if (outcome.last != read_status::need_more)
+                return outcome;
+            else
+                break;
+        }
+        ahead = std::string(rest);
+    }
+    return outcome;
+}
+
+read_status status_of(std::string const& bytes)
+{
+    return read_requests(bytes, bytes.size()).last;
+}
+
+} // namespace
+
+TEST_CASE("a request on a connection")
+{
+    std::string const first = "POST /a/b?c=d HTTP/1.1\r\nHost: x.example\r\n"
+                              "Request-Id: 1\r\nContent-Length: 5\r\n\r\nhello";
+    std::string const second = "GET /e HTTP/1.1\r\nHost: y\r\n\r\n";
+
+    SUBCASE("is read the same in pieces of any size, and the next after it")
+    {
+        for (std::size_t piece = 1; piece < first.size(); ++piece)
+        {
+            auto const outcome = read_requests(first + second, piece);
+            REQUIRE(outcome.requests.size() == 2);
+            CHECK(outcome.requests[0].method == "POST");
+            CHECK(outcome.requests[0].target == "/a/b?c=d");
+            CHECK(outcome.requests[0].body == "hello");
+            CHECK(*outcome.requests[0].fields.find("request-id") == "1");
+            CHECK(outcome.requests[1].target == "/e");
+        }
+    }
+    SUBCASE("in chunks has the whole body")
+    {
+        auto const outcome = read_requests(
+            "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+            "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n" +
+                second,
+            7);
+        REQUIRE(outcome.requests.size() == 2);
+        CHECK(outcome.requests[0].body == "abcde");
+    }
+    SUBCASE("that could be read in two ways is refused")
+    {
+        CHECK(status_of("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n"
+                        "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n") ==
+              read_status::malformed);
+        CHECK(status_of("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n"
+                        "Content-Length: 6\r\n\r\nhello!") ==
+              read_status::malformed);
+        CHECK(status_of("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n"
+                        "Content-Length: 5\r\n\r\nhello") ==
+              read_status::malformed);
+        CHECK(status_of("GET / HTTP/1.1\r\nHost: x\r\nHost: y\r\n\r\n") ==
+              read_status::malformed);
+        CHECK(status_of("POST / HTTP/1.1\r\nHost: x\r\n"
+                        "Transfer-Encoding: xchunked\r\n\r\n") ==
+              read_status::malformed);
+        CHECK(status_of("POST / HTTP/1.1\r\nHost: x\r\n"
+                        "Transfer-Encoding: gzip\r\n"
+                        "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n") ==
+              read_status::malformed);
+        CHECK(status_of("CONNECT x:1 HTTP/1.1\r\nHost: x\r\n\r\n") ==
+              read_status::malformed);
+        CHECK(status_of("GET http://x/ HTTP/1.1\r\nHost: x\r\n\r\n") ==
+              read_status::malformed);
+        CHECK(status_of("GET / HTTP/1.1\r\nHost : x\r\n\r\n") ==
+              read_status::malformed);
+    }
+    SUBCASE("that asks for another protocol still has its body read as one")
+    {
+        auto const outcome = read_requests(
+            "POST / HTTP/1.1\r\nHost: x\r\nConnection: upgrade\r\n"
+            "Upgrade: y\r\nContent-Length: 33\r\n\r\n"
+            "GET /hidden HTTP/1.1\r\nHost: x\r\n\r\n" +
+                second,
+            1'000);
+        REQUIRE(outcome.requests.size() == 2);
+        CHECK(outcome.requests[0].body.size() == 33);
+        CHECK(outcome.requests[1].target == "/e");
+    }
+    SUBCASE("is bounded in header and body")
+    {
+        auto const long_header =
+            "GET / HTTP/1.1\r\nHost: x\r\nLong: " + std::string(400, 'a') +
+            "\r\n\r\n";
+        CHECK(read_requests(long_header, 50, {.header_bytes = 300}).last ==
+              read_status::header_too_large);
+        CHECK(read_requests(first, 9, {.body_bytes = 4}).last ==
+              read_status::body_too_large);
+        CHECK(read_requests("POST / HTTP/1.1\r\nHost: x\r\n"
+                            "Transfer-Encoding: chunked\r\n\r\n"
+                            "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n",
+                            4, {.body_bytes = 4})
+                  .last == read_status::body_too_large);
+    }
+    SUBCASE("never becomes two requests when bytes are damaged")
+    {
+        CHECK(rc::check(
+            [&]
+            {
+                auto damaged = first;
+                auto const changes = *rc::gen::inRange(1, 4);
+                for (int i = 0; i < changes; ++i)
+                {
+                    auto const at =
+                        *rc::gen::inRange<std::size_t>(0, damaged.size());
+                    damaged[at] = *rc::gen::arbitrary<char>();
+                }
+                auto const piece =
+                    *rc::gen::inRange<std::size_t>(1, damaged.size());
+                auto const outcome = read_requests(damaged, piece);
+                RC_ASSERT(outcome.requests.size() <= 1);
+                // What is passed on reads back as the same single request.
+                for (auto const& request : outcome.requests)
+                {
+                    auto again = request;
+                    again.fields.remove_hop_by_hop();
+                    auto const copy =
+                        read_requests(write_request(again), 1'000);
+                    RC_ASSERT(copy.requests.size() == 1);
+                    RC_ASSERT(copy.requests[0].target == request.target);
+                    RC_ASSERT(copy.requests[0].body == request.body);
+                }
+            }));
+    }
+}
+
+TEST_CASE("a response of an upstream")
+{
+    http_reader reader(http_reader::direction::response);
+
+    SUBCASE("without a length ends with the connection")
+    {
+        std::string_view bytes = "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n\r\nabc";
+        CHECK(reader.feed(bytes) == read_status::need_more);
+        REQUIRE(reader.finish() == read_status::complete);
+        auto const response = reader.take_response();
+        CHECK(response.body == "abc");
+        CHECK(response.ended_by_close);
+        CHECK_FALSE(response.keep_alive);
+    }
+    SUBCASE("that ends before its length is not complete")
+    {
+        std::string_view bytes =
+            "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc";
+        CHECK(reader.feed(bytes) == read_status::need_more);
+        CHECK(reader.finish() == read_status::malformed);
+    }
+    SUBCASE("that ends inside its chunks is not complete")
+    {
+        std::string_view bytes = "HTTP/1.1 200 OK\r\nTransfer-Encoding: "
+                                 "chunked\r\n\r\n5\r\nabc";
+        CHECK(reader.feed(bytes) == read_status::need_more);
+        CHECK(reader.finish() == read_status::malformed);
+    }
+    SUBCASE("leaves extra bytes to whoever reads next")
+    {
+        std::string_view bytes =
+            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200";
+        CHECK(reader.feed(bytes) == read_status::complete);
+        CHECK(bytes == "HTTP/1.1 200");
+    }
+    SUBCASE("that is no HTTP is refused")
+    {
+        std::string_view bytes = "\x01\x02garbage\r\n\r\n";
+        CHECK(reader.feed(bytes) == read_status::malformed);
+    }
+}
+
+TEST_CASE("fields that concern one connection are not passed on")
+{
+    http_fields fields;
+    fields.add("Connection", "keep-alive, X-Hop");
+    fields.add("X-Hop", "1");
+    fields.add("Keep-Alive", "timeout=5");
+    fields.add("Transfer-Encoding", "chunked");
+    fields.add("Content-Length", "3");
+    fields.add("X-Kept", "2");
+    fields.remove_hop_by_hop();
+    REQUIRE(fields.all().size() == 1);
+    CHECK(fields.all()[0].name == "X-Kept");
+
+    SUBCASE("and a field that is set stands once")
+    {
+        fields.add("x-kept", "3");
+        fields.set("X-KEPT", "4");
+        CHECK(fields.count("X-Kept") == 1);
+        CHECK(*fields.find("x-kept") == "4");
+    }
+}
