--- a/src/pollenhall_sidecar/sidecar_test.cpp
+++ b/src/pollenhall_sidecar/sidecar_test.cpp
@@ -149,11 +149,10 @@
         REQUIRE(second.open().ok());
         first.set_upstream(first_upstream.registration());
         second.set_upstream(second_upstream.registration());
-        auto const routes =
-            std::make_shared<mesh::route_table const>(mesh::configuration{
-                .version = mesh::config_version(1),
-                .routes = {make_route("/read/", true),
-                           make_route("/order/", false)}});
+        auto const routes = std::make_shared<mesh::route_table const>(
+            mesh::configuration{.version = mesh::config_version(1),
+                                .routes = {make_route("/read/", true),
+                                           make_route("/order/", false)}});
         first.set_routes(routes);
         second.set_routes(routes);
         first.set_hosts(hosts());
@@ -195,10 +194,7 @@
     }
 
     /// Only the given upstream is known to the first node.
-    void know_only(std::size_t index)
-    {
-        first.set_hosts({hosts().at(index)});
-    }
+    void know_only(std::size_t index) { first.set_hosts({hosts().at(index)}); }
 
     mesh::http_request make_request(std::string const& method,
                                     std::string const& path)
