Repeats by window, ranks by parent, overdue answers, placement by time

Change: the retry allowance follows the sliding windows of the rule, the last third of it is for calls of the most urgent requests; a call made during a run has the rank of its parent and goes before new work; an upstream that refused may be asked again; an answer that is overdue by seven deviations is given up for another upstream while failures are rare; an upstream's own failure is repeated while failures are rare; calls that may not be repeated prefer upstreams that answer well within their time.

--- a/src/include/pollenhall/mesh/attempt_policy.hpp
+++ b/src/include/pollenhall/mesh/attempt_policy.hpp
@@ -8,6 +8,7 @@
 #include <pollenhall/ids.hpp>
 
 #include <map>
+#include <vector>
 
 namespace pollenhall::mesh
 {
@@ -17,6 +18,8 @@
 {
     /// A whole answer that is passed on.
     answered,
+    /// A whole answer of the upstream that says that it failed.
+    failed,
     /// The gate or the way to it refused; no upstream saw the call.
     not_offered,
     /// The upstream said that it did not run the call.
@@ -52,14 +55,21 @@
     double ratio = 0;
     /// Repeats beyond the ratio in a window, for all nodes together.
     double slack = 0;
-    /// Part of the allowance that is used: repeats of a call repeat the calls
-    /// below it, which count at their services as well.
-    double use_share = 0.5;
+    /// Length of a window.
+    seconds window{10};
+    /// Part of the allowance that is used; the rest covers requests that
+    /// nodes which end take out of the count.
+    double use_share = 0.8;
+    /// Part of it that is kept for calls of the most urgent requests.
+    double urgent_share = 0.35;
 };
 
 /// Keeps the repeats of each service within the allowance that all nodes
 /// share, by a node's own part of it: the ratio of the first attempts that it
-/// sends, and an equal part of the slack. Not thread-safe.
+/// sends, and an equal part of the slack. Repeats of a window are compared
+/// with the first attempts of that window or of an earlier one, whichever had
+/// most: when demand is cut, what is left may be repeated more.
+/// Not thread-safe.
 class retry_allowance
 {
 public:
@@ -67,26 +77,39 @@
 
     /// Sets the number of nodes that share the slack.
     void set_nodes(std::size_t nodes);
-    void on_first_attempt(service_name const& service);
-    /// Takes one repeat; false if none is left.
-    bool spend(service_name const& service);
+    void on_first_attempt(service_name const& service, mono_time now);
+    /// Takes one repeat; false if none is left for a call of this urgency.
+    bool spend(service_name const& service, bool urgent, mono_time now);
+    /// Counts a repeat that can't be avoided: a call made by a repeated run.
+    void count(service_name const& service, mono_time now);
 
 private:
-    // The node's part of the slack.
-    [[nodiscard]] double slack_share() const;
+    // Counts of half a second each; enough of them for two windows.
+    struct history
+    {
+        std::vector<int> first;
+        std::vector<int> repeats;
+        std::int64_t slot = 0;
+    };
+
+    history& advance(service_name const& service, mono_time now);
+    [[nodiscard]] std::size_t slots() const;
+    // Whether one more repeat fits into `share` of the allowance.
+    [[nodiscard]] bool has_room(history const& counts, double share) const;
 
     retry_allowance_options options_;
     std::size_t nodes_ = 1;
-    // Repeats saved up, from 0 to the part of the slack or 1.
-    std::map<service_name, double> tokens_;
+    std::map<service_name, history> counts_;
 };
 
 /// Limits of one call.
 struct attempt_limits
 {
     bool idempotent = false;
-    /// Most attempts that may reach an upstream.
+    /// Most attempts that may run.
     int attempts = 1;
+    /// Most attempts that an upstream says it did not run.
+    int refusals = 4;
     /// Most attempts that reach no upstream.
     int placements = 3;
 };
@@ -111,15 +134,28 @@
         return allowance() ? next_step::repeat : final_step(end);
     }
 
+    /// Whether an attempt whose answer is overdue is given up for another;
+    /// `repeat` if so, else `deliver`: what comes is waited for.
+    template <class SpendRepeat>
+    next_step on_overdue(SpendRepeat&& allowance)
+    {
+        if (!limits_.idempotent || run_ + 1 >= limits_.attempts || !allowance())
+            return next_step::deliver;
+        note(attempt_end::unknown);
+        return next_step::repeat;
+    }
+
 private:
     void note(attempt_end end);
     [[nodiscard]] bool wants_repeat(attempt_end end, bool elsewhere) const;
     [[nodiscard]] next_step final_step(attempt_end end) const;
 
     attempt_limits limits_;
-    // Attempts that reached or may have reached an upstream.
-    int offered_ = 0;
+    // Attempts that ran or may have run, that an upstream did not run, and
+    // that reached none.
+    int run_ = 0;
     int refused_ = 0;
+    int not_offered_ = 0;
     // An earlier attempt may have run the call.
     bool may_have_run_ = false;
 };
--- a/src/include/pollenhall/mesh/gate_queue.hpp
+++ b/src/include/pollenhall/mesh/gate_queue.hpp
@@ -25,8 +25,8 @@
 struct gate_request
 {
     gate_call number;
-    // 0 is the most important.
-    int priority = 0;
+    // The lowest goes first.
+    int rank = 0;
     mono_time arrived{};
     // Nothing that ends later is of use.
     mono_time deadline{};
--- a/src/include/pollenhall/mesh/placement.hpp
+++ b/src/include/pollenhall/mesh/placement.hpp
@@ -47,9 +47,14 @@
     /// Utilisation by which an upstream of another availability zone must be
     /// less busy to be chosen; traffic between zones is paid for.
     double zone_penalty = 0.35;
-    /// Weight of the share of failed calls against utilisation: an upstream
-    /// that fails a third of its calls ranks below one that is full.
-    double failure_weight = 3;
+    /// Utilisation that an upstream counts as busier when its calls take all
+    /// of the useful time. Grows with the square of the share: times vary, so
+    /// the risk of a late answer grows faster than the mean time.
+    double time_penalty = 0.6;
+    /// The same for a call that may not be repeated: late, it is lost.
+    double sole_time_penalty = 2;
+    /// Utilisation that the failure of all calls is worth.
+    double failure_penalty = 3;
     /// Utilisation added while an upstream is cold.
     double cold_penalty = 0.3;
     /// Age at which the reported load of others counts half.
@@ -60,6 +65,17 @@
     milliseconds max_pause{1'600};
 };
 
+/// What a call needs.
+struct placement_need
+{
+    service_name service;
+    /// Time within which the answer is of full use: where it is long, calls
+    /// stay in the zone.
+    milliseconds useful_time{0};
+    /// Whether another upstream may run it after a failure.
+    bool repeatable = true;
+};
+
 /// Upstreams of all services as one node sees them. Not thread-safe.
 class placement
 {
@@ -70,12 +86,17 @@
     /// stay with the same incarnation are kept.
     void set_hosts(std::vector<host_entry> const& hosts, mono_time now);
 
-    /// The best upstream of `service` outside `excluded`; null if there is
-    /// none. `random` breaks ties.
+    /// The upstream outside `excluded` from which an answer is expected at
+    /// the least cost; null if there is none. `random` breaks ties.
     [[nodiscard]] host_entry const*
-    choose(service_name const& service,
+    choose(placement_need const& need,
            std::vector<host_address> const& excluded, std::uint64_t random,
            mono_time now) const;
+    /// The same among given hosts.
+    [[nodiscard]] host_entry const*
+    choose_among(placement_need const& need,
+                 std::vector<host_address> const& candidates,
+                 std::uint64_t random, mono_time now) const;
 
     void on_sent(host_address const& host);
     void on_finished(host_address const& host);
@@ -112,7 +133,9 @@
 
     [[nodiscard]] double utilisation(upstream_view const& view,
                                      mono_time now) const;
-    [[nodiscard]] double score(upstream_view const& view, mono_time now) const;
+    // Utilisation with penalties.
+    [[nodiscard]] double cost(upstream_view const& view,
+                              placement_need const& need, mono_time now) const;
     [[nodiscard]] bool usable(upstream_view const& view, mono_time now) const;
     upstream_view* find(host_address const& host);
 
--- /dev/null
+++ b/src/libpollenhall_mesh/answer_record_test.cpp
@@ -0,0 +1,46 @@
+// Tests when an answer is overdue, and when failures are rare.
+
+#include <pollenhall/mesh/answer_record.hpp>
+
+#include <doctest/doctest.h>
+
+#include <cmath>
+#include <random>
+
+TEST_CASE("answers of a route")
+{
+    using namespace pollenhall;
+    using namespace pollenhall::mesh;
+    answer_record record;
+    route_name const route("leaf");
+    std::mt19937_64 random(5);
+    // Long-tailed, with a mean of about 25 ms.
+    std::lognormal_distribution<double> time(std::log(22.0), 0.5);
+    CHECK_FALSE(record.patience(route).has_value());
+    CHECK_FALSE(record.failures_are_rare(route));
+    int overdue = 0;
+    for (int i = 0; i < 5'000; ++i)
+    {
+        auto const took =
+            microseconds(static_cast<std::int64_t>(time(random) * 1'000));
+        auto const patience = record.patience(route);
+        overdue += patience && took > *patience ? 1 : 0;
+        record.on_answer(route, took, i % 100 == 0);
+    }
+
+    SUBCASE("are seldom taken for lost")
+    {
+        CHECK(overdue < 25);
+        CHECK(*record.patience(route) < milliseconds(250));
+    }
+    SUBCASE("that fail now and then are worth a second try")
+    {
+        CHECK(record.failures_are_rare(route));
+    }
+    SUBCASE("that fail often are not")
+    {
+        for (int i = 0; i < 20; ++i)
+            record.on_failure(route);
+        CHECK_FALSE(record.failures_are_rare(route));
+    }
+}
--- a/src/libpollenhall_mesh/attempt_policy.cpp
+++ b/src/libpollenhall_mesh/attempt_policy.cpp
@@ -4,14 +4,23 @@
 
 #include <algorithm>
 #include <array>
+#include <numeric>
 
 namespace pollenhall::mesh
 {
+namespace
+{
+
+// Resolution of a window: a repeat counts for at most this much longer than
+// the window.
+constexpr milliseconds slot_time{500};
+
+} // namespace
 
 std::string_view to_string(attempt_end end)
 {
-    constexpr std::array<std::string_view, 5> names{
-        "answered", "not_offered", "not_run", "unknown", "timed_out"};
+    constexpr std::array<std::string_view, 6> names{
+        "answered", "failed", "not_offered", "not_run", "unknown", "timed_out"};
     return names.at(static_cast<std::size_t>(end));
 }
 
@@ -20,67 +29,140 @@
 {
 }
 
-double retry_allowance::slack_share() const
+void retry_allowance::set_nodes(std::size_t nodes)
 {
-    return options_.slack * options_.use_share / static_cast<double>(nodes_);
+    nodes_ = std::max<std::size_t>(1, nodes);
 }
 
-void retry_allowance::set_nodes(std::size_t nodes)
+std::size_t retry_allowance::slots() const
 {
-    nodes_ = std::max<std::size_t>(1, nodes);
+    return static_cast<std::size_t>(options_.window / slot_time);
 }
 
-void retry_allowance::on_first_attempt(service_name const& service)
+retry_allowance::history& retry_allowance::advance(service_name const& service,
+                                                   mono_time now)
 {
-    auto const found = tokens_.try_emplace(service, slack_share()).first;
-    // Of many nodes each has less than one repeat of the slack, but may save
-    // up one from the ratio.
-    found->second =
-        std::min(std::max(1.0, slack_share()),
-                 found->second + options_.ratio * options_.use_share);
+    auto& counts = counts_[service];
+    auto const slot = now.time_since_epoch() / slot_time;
+    auto const kept = 2 * slots();
+    if (counts.first.empty())
+    {
+        counts.first.assign(kept, 0);
+        counts.repeats.assign(kept, 0);
+        counts.slot = slot;
+    }
+    auto const passed = std::min<std::int64_t>(slot - counts.slot,
+                                               static_cast<std::int64_t>(kept));
+    for (std::int64_t i = 0; i < passed; ++i)
+    {
+        counts.first.erase(counts.first.begin());
+        counts.first.push_back(0);
+        counts.repeats.erase(counts.repeats.begin());
+        counts.repeats.push_back(0);
+    }
+    counts.slot = std::max(counts.slot, slot);
+    return counts;
 }
 
-bool retry_allowance::spend(service_name const& service)
+bool retry_allowance::has_room(history const& counts, double share) const
 {
-    auto const found = tokens_.find(service);
-    if (found == tokens_.end() || found->second < 1)
+    // Every window that holds this moment must be within the allowance, also
+    // if no request comes any more. A window is compared with the first
+    // attempts in it, in the one before it, and in the one between.
+    auto const size = static_cast<std::ptrdiff_t>(slots());
+    auto const sum = [](std::vector<int> const& values, std::ptrdiff_t begin,
+                        std::ptrdiff_t end)
+    {
+        auto const last = static_cast<std::ptrdiff_t>(values.size());
+        begin = std::clamp<std::ptrdiff_t>(begin, 0, last);
+        end = std::clamp<std::ptrdiff_t>(end, begin, last);
+        return std::accumulate(values.begin() + begin, values.begin() + end, 0);
+    };
+    for (std::ptrdiff_t shift = 0; shift < size; ++shift)
+    {
+        auto const end = 2 * size + shift;
+        auto const most =
+            std::max({sum(counts.first, end - size, end),
+                      sum(counts.first, end - size - size / 2, end - size / 2),
+                      sum(counts.first, end - 2 * size, end - size)});
+        auto const allowed = options_.use_share * share *
+                             (options_.ratio * most +
+                              options_.slack / static_cast<double>(nodes_));
+        if (sum(counts.repeats, end - size, end) + 1 > allowed)
+            return false;
+    }
+    return true;
+}
+
+void retry_allowance::on_first_attempt(service_name const& service,
+                                       mono_time now)
+{
+    ++advance(service, now).first.back();
+}
+
+bool retry_allowance::spend(service_name const& service, bool urgent,
+                            mono_time now)
+{
+    auto& counts = advance(service, now);
+    if (!has_room(counts, urgent ? 1.0 : 1.0 - options_.urgent_share))
         return false;
-    found->second -= 1;
+    ++counts.repeats.back();
     return true;
 }
 
+void retry_allowance::count(service_name const& service, mono_time now)
+{
+    ++advance(service, now).repeats.back();
+}
+
 attempt_policy::attempt_policy(attempt_limits limits) : limits_(limits) {}
 
 void attempt_policy::note(attempt_end end)
 {
-    if (end == attempt_end::not_offered)
+    switch (end)
+    {
+    case attempt_end::not_offered:
+        ++not_offered_;
+        break;
+    case attempt_end::not_run:
         ++refused_;
-    else
-        ++offered_;
-    if (end == attempt_end::unknown || end == attempt_end::timed_out)
+        break;
+    case attempt_end::answered:
+        ++run_;
+        break;
+    case attempt_end::failed:
+    case attempt_end::unknown:
+    case attempt_end::timed_out:
+        ++run_;
         may_have_run_ = true;
+        break;
+    }
 }
 
 bool attempt_policy::wants_repeat(attempt_end end, bool elsewhere) const
 {
+    if (may_have_run_ && !limits_.idempotent)
+        return false;
     switch (end)
     {
     case attempt_end::answered:
     case attempt_end::timed_out:
         return false;
     case attempt_end::not_offered:
-        return elsewhere && refused_ < limits_.placements;
+        return elsewhere && not_offered_ < limits_.placements;
     case attempt_end::not_run:
-        return elsewhere && offered_ < limits_.attempts;
+        return elsewhere && refused_ < limits_.refusals &&
+               run_ < limits_.attempts;
+    case attempt_end::failed:
     case attempt_end::unknown:
-        return limits_.idempotent && elsewhere && offered_ < limits_.attempts;
+        return elsewhere && run_ < limits_.attempts;
     }
     return false;
 }
 
 next_step attempt_policy::final_step(attempt_end end) const
 {
-    if (end == attempt_end::answered)
+    if (end == attempt_end::answered || end == attempt_end::failed)
         return next_step::deliver;
     if (end == attempt_end::timed_out)
         return next_step::time_out;
--- a/src/libpollenhall_mesh/gate_queue.cpp
+++ b/src/libpollenhall_mesh/gate_queue.cpp
@@ -20,8 +20,8 @@
 bool gate_queue::start_order::operator()(gate_request const& left,
                                          gate_request const& right) const
 {
-    if (left.priority != right.priority)
-        return left.priority < right.priority;
+    if (left.rank != right.rank)
+        return left.rank < right.rank;
     if (left.arrived != right.arrived)
         return left.arrived < right.arrived;
     return left.number < right.number;
--- a/src/libpollenhall_mesh/placement.cpp
+++ b/src/libpollenhall_mesh/placement.cpp
@@ -10,7 +10,7 @@
 namespace
 {
 
-// Spread of the random part of a score, in utilisation: enough to share calls
+// Spread of the random part of a cost, in utilisation: enough to share calls
 // among upstreams that look alike.
 constexpr double tie_spread = 0.02;
 
@@ -65,19 +65,27 @@
     return (others + view.outstanding) / std::max(view.load.limit, 1);
 }
 
-double placement::score(upstream_view const& view, mono_time now) const
+double placement::cost(upstream_view const& view, placement_need const& need,
+                       mono_time now) const
 {
-    double total = utilisation(view, now);
+    auto total = utilisation(view, now);
     if (view.entry.zone != options_.own_zone)
         total += options_.zone_penalty;
-    if (view.has_load)
-        total +=
-            options_.failure_weight * view.load.failing_share *
-            std::exp2(
-                -std::chrono::duration<double>(now - view.load_time).count());
     if (now < view.cold_until)
         total += options_.cold_penalty;
-    return total;
+    if (!view.has_load)
+        return total;
+    auto const share = std::min(
+        1.0, view.load.service_ms /
+                 std::max(1.0, static_cast<double>(need.useful_time.count())));
+    total +=
+        (need.repeatable ? options_.time_penalty : options_.sole_time_penalty) *
+        share * share;
+    // Nothing latches: a report of failures loses its weight with time.
+    auto const age_s =
+        std::chrono::duration<double>(now - view.load_time).count();
+    return total + options_.failure_penalty * view.load.failing_share *
+                       std::exp2(-age_s);
 }
 
 bool placement::usable(upstream_view const& view, mono_time now) const
@@ -85,29 +93,45 @@
     return view.entry.ready && now >= view.paused_until;
 }
 
-host_entry const* placement::choose(service_name const& service,
+host_entry const* placement::choose(placement_need const& need,
                                     std::vector<host_address> const& excluded,
                                     std::uint64_t random, mono_time now) const
 {
-    auto const found = by_service_.find(service);
+    auto const found = by_service_.find(need.service);
     if (found == by_service_.end())
         return nullptr;
+    if (excluded.empty())
+        return choose_among(need, found->second, random, now);
+    auto candidates = found->second;
+    std::erase_if(candidates,
+                  [&](auto const& host)
+                  {
+                      return std::find(excluded.begin(), excluded.end(),
+                                       host) != excluded.end();
+                  });
+    return choose_among(need, candidates, random, now);
+}
+
+host_entry const*
+placement::choose_among(placement_need const& need,
+                        std::vector<host_address> const& candidates,
+                        std::uint64_t random, mono_time now) const
+{
     host_entry const* best = nullptr;
-    double best_score = 0;
-    for (auto const& host : found->second)
+    double best_cost = 0;
+    for (auto const& host : candidates)
     {
-        auto const& view = views_.at(host);
-        if (!usable(view, now) ||
-            std::find(excluded.begin(), excluded.end(), host) != excluded.end())
+        auto const found = views_.find(host);
+        if (found == views_.end() || !usable(found->second, now))
             continue;
         random = random * 6364136223846793005ULL + 1442695040888963407ULL;
         double const jitter =
             tie_spread * static_cast<double>(random >> 40) / (1 << 24);
-        double const candidate = score(view, now) + jitter;
-        if (best == nullptr || candidate < best_score)
+        double const candidate = cost(found->second, need, now) + jitter;
+        if (best == nullptr || candidate < best_cost)
         {
-            best = &view.entry;
-            best_score = candidate;
+            best = &found->second.entry;
+            best_cost = candidate;
         }
     }
     return best;
--- a/src/pollenhall_sidecar/call.cpp
+++ b/src/pollenhall_sidecar/call.cpp
@@ -26,7 +26,8 @@
 std::optional<mesh::attempt_end> parse_end(std::string_view name)
 {
     using enum mesh::attempt_end;
-    for (auto const end : {answered, not_offered, not_run, unknown, timed_out})
+    for (auto const end :
+         {answered, failed, not_offered, not_run, unknown, timed_out})
         if (mesh::to_string(end) == name)
             return end;
     return std::nullopt;
@@ -37,7 +38,7 @@
 std::string write_terms(call_terms const& terms)
 {
     return word(terms.service.value()) + " " + word(terms.expected.value()) +
-           (terms.idempotent ? " i " : " n ") + std::to_string(terms.priority) +
+           (terms.idempotent ? " i " : " n ") + std::to_string(terms.rank) +
            " " + std::to_string(terms.objective.count()) +
            (terms.is_repeat ? " r " : " f ") +
            std::to_string(terms.version.value());
@@ -53,8 +54,8 @@
     std::int64_t objective = 0;
     std::int64_t version = 0;
     call_terms terms;
-    if (!(in >> service >> expected >> idempotent >> terms.priority >>
-          objective >> repeat >> version))
+    if (!(in >> service >> expected >> idempotent >> terms.rank >> objective >>
+          repeat >> version))
         return std::nullopt;
     terms.service = service_name(service);
     terms.expected = mesh::incarnation_id(expected);
--- a/src/pollenhall_sidecar/gate.cpp
+++ b/src/pollenhall_sidecar/gate.cpp
@@ -83,7 +83,7 @@
         return number;
     }
     auto const refusal = queue_.offer({.number = number,
-                                       .priority = call.terms.priority,
+                                       .rank = call.terms.rank,
                                        .arrived = now,
                                        .deadline = call.deadline,
                                        .max_wait = max_wait(call)},
@@ -119,10 +119,26 @@
         return;
     client_pool::cancel(item.exchange);
     queue_.on_finished(std::nullopt, false, mono_now());
+    forget_running(found->second.call.id, number);
     calls_.erase(found);
     start_calls();
 }
 
+void gate::forget_running(request_id const& id, mesh::gate_call number)
+{
+    auto const found = running_.find(id);
+    if (found != running_.end() && found->second == number)
+        running_.erase(found);
+}
+
+call_terms const* gate::running(request_id const& id) const
+{
+    auto const found = running_.find(id);
+    if (found == running_.end())
+        return nullptr;
+    return &calls_.at(found->second).call.terms;
+}
+
 void gate::start_calls()
 {
     auto startable = queue_.take_startable();
@@ -141,6 +157,7 @@
     auto const now = mono_now();
     item.running = true;
     item.started = now;
+    running_.insert_or_assign(item.call.id, number);
     auto const left = time_left(item.call.deadline, now);
     if (left < least_time)
     {
@@ -197,9 +214,10 @@
     if (!is_signed || (fields.find("Content-Encoding") != nullptr))
         return {.end = attempt_end::unknown,
                 .reason = "answer_not_of_upstream"};
-    return {.end = attempt_end::answered,
+    bool const failed = result.response.status >= 500;
+    return {.end = failed ? attempt_end::failed : attempt_end::answered,
             .response = std::move(result.response),
-            .reason = "answered"};
+            .reason = failed ? "upstream_failed" : "answered"};
 }
 
 void gate::on_exchange_end(mesh::gate_call number, exchange_result result)
@@ -218,7 +236,8 @@
                  std::chrono::duration_cast<milliseconds>(now - item.started)
                      .count());
     auto outcome = read_result(std::move(result));
-    bool const failed = outcome.end != mesh::attempt_end::answered;
+    bool const failed = outcome.end != mesh::attempt_end::answered &&
+                        outcome.end != mesh::attempt_end::failed;
     queue_.on_finished(now - item.started, failed, now);
     finish(number, std::move(outcome));
     start_calls();
@@ -227,7 +246,10 @@
 void gate::finish(mesh::gate_call number, attempt_result result)
 {
     auto node = calls_.extract(number);
-    if (!node.empty() && node.mapped().on_end)
+    if (node.empty())
+        return;
+    forget_running(node.mapped().call.id, number);
+    if (node.mapped().on_end)
         node.mapped().on_end(std::move(result));
 }
 
--- a/src/pollenhall_sidecar/gate.hpp
+++ b/src/pollenhall_sidecar/gate.hpp
@@ -46,6 +46,10 @@
     /// and already runs is left to run to its end.
     void cancel(mesh::gate_call number);
 
+    /// Terms of the call that runs at the upstream under an id; null if there
+    /// is none. Calls that the upstream makes meanwhile carry ids that begin
+    /// with it.
+    [[nodiscard]] call_terms const* running(request_id const& id) const;
     [[nodiscard]] mesh::upstream_load load() const;
     /// Calls that wait or run.
     [[nodiscard]] std::size_t active() const { return calls_.size(); }
@@ -68,6 +72,7 @@
     void on_exchange_end(mesh::gate_call number, exchange_result result);
     [[nodiscard]] attempt_result read_result(exchange_result result) const;
     void finish(mesh::gate_call number, attempt_result result);
+    void forget_running(request_id const& id, mesh::gate_call number);
     void drop_waiting();
     void schedule_sweep();
     void sweep();
@@ -78,6 +83,7 @@
     mesh::gate_queue queue_;
     std::optional<mesh::registered_upstream> upstream_;
     std::map<mesh::gate_call, active_call> calls_;
+    std::map<request_id, mesh::gate_call> running_;
     std::uint64_t last_number_ = 0;
     bool sweep_scheduled_ = false;
 };
--- a/src/pollenhall_sidecar/origin_call.cpp
+++ b/src/pollenhall_sidecar/origin_call.cpp
@@ -23,6 +23,12 @@
 // spread keeps callers from coming back together.
 constexpr milliseconds least_retry_after{150};
 constexpr milliseconds most_retry_after{2'000};
+// Calls up to this rank, those of requests of priority 0, may use the last of
+// the retry allowance.
+constexpr int urgent_rank = 1;
+// An overdue answer is only given up while this share of the time is left for
+// another attempt.
+constexpr double most_patience_share = 0.55;
 
 milliseconds spread_retry_after(milliseconds expected, std::uint64_t random)
 {
@@ -36,9 +42,11 @@
 
 origin_call::origin_call(traffic_node& node,
                          std::shared_ptr<server_connection> caller,
-                         mesh_call call, mesh::attempt_limits limits)
+                         mesh_call call, mesh::route const& route)
     : node_(node), caller_(std::move(caller)), call_(std::move(call)),
-      policy_(limits), arrived_(mono_now())
+      routes_(node.routes_), route_(route),
+      policy_({.idempotent = route.idempotent, .attempts = route.attempts}),
+      arrived_(mono_now())
 {
     ++node_.open_calls_;
 }
@@ -47,11 +55,15 @@
 {
     --node_.open_calls_;
     node_.timers_.cancel(timeout_);
+    node_.timers_.cancel(overdue_);
 }
 
 void origin_call::start()
 {
-    node_.allowance_.on_first_attempt(call_.terms.service);
+    if (call_.terms.is_repeat)
+        node_.allowance_.count(call_.terms.service, arrived_);
+    else
+        node_.allowance_.on_first_attempt(call_.terms.service, arrived_);
     // The timer and the caller's connection keep the call alive.
     timeout_ =
         node_.timers_.at(call_.deadline + timeout_margin,
@@ -65,11 +77,27 @@
     attempt();
 }
 
-void origin_call::attempt()
+mesh::host_entry const* origin_call::choose()
 {
     auto const now = mono_now();
-    auto const* host = node_.placement_.choose(call_.terms.service, tried_,
-                                               node_.random_(), now);
+    auto useful = time_left(call_.deadline, now);
+    if (call_.terms.objective.count() > 0)
+        useful = std::min(useful, call_.terms.objective);
+    mesh::placement_need const need{.service = call_.terms.service,
+                                    .useful_time = useful,
+                                    .repeatable = route_.idempotent};
+    // A route says to how many upstreams a request may be sent.
+    if (reached_.size() < static_cast<std::size_t>(route_.attempts))
+        if (auto const* fresh =
+                node_.placement_.choose(need, tried_, node_.random_(), now))
+            return fresh;
+    return node_.placement_.choose_among(need, refused_by_, node_.random_(),
+                                         now);
+}
+
+void origin_call::attempt()
+{
+    auto const* host = choose();
     if (host == nullptr)
         return answer(
             mesh::next_step::refuse,
@@ -78,7 +106,9 @@
     call_.terms.expected = host->incarnation;
     tried_.push_back(host->host);
     at_ = host->host;
+    attempt_began_ = mono_now();
     node_.placement_.on_sent(host->host);
+    watch_answer();
     if (host->host == node_.options_.host)
         send_to_gate();
     else
@@ -176,15 +206,26 @@
 void origin_call::on_attempt_end(attempt_result result)
 {
     auto const keep = shared_from_this();
+    auto const now = mono_now();
     if (result.gate_not_ready && at_)
-        node_.placement_.on_not_ready(*at_, not_ready_pause, mono_now());
+        node_.placement_.on_not_ready(*at_, not_ready_pause, now);
+    if (at_)
+        note_reached(*at_, result.end);
     at_.reset();
     at_gate_.reset();
-    bool const elsewhere = node_.placement_.choose(call_.terms.service, tried_,
-                                                   0, mono_now()) != nullptr;
-    auto const step = policy_.on_end(
-        result.end, elsewhere,
-        [&] { return node_.allowance_.spend(call_.terms.service); });
+    node_.timers_.cancel(overdue_);
+    if (result.end == mesh::attempt_end::answered ||
+        result.end == mesh::attempt_end::failed)
+        node_.answers_.on_answer(route_.name, now - attempt_began_,
+                                 result.end == mesh::attempt_end::failed);
+    else
+        node_.answers_.on_failure(route_.name);
+    // Where many requests fail, repeating whole ones adds to the load.
+    bool const worth_repeating = result.end != mesh::attempt_end::failed ||
+                                 node_.answers_.failures_are_rare(route_.name);
+    auto const step =
+        policy_.on_end(result.end, worth_repeating && choose() != nullptr,
+                       [&] { return spend_repeat(); });
     if (step == mesh::next_step::place_again || step == mesh::next_step::repeat)
     {
         if (step == mesh::next_step::repeat)
@@ -204,6 +245,74 @@
     answer(step, result);
 }
 
+void origin_call::watch_answer()
+{
+    node_.timers_.cancel(overdue_);
+    auto const patience = node_.answers_.patience(route_.name);
+    auto const left = time_left(call_.deadline, attempt_began_);
+    if (!route_.idempotent || !patience ||
+        *patience > std::chrono::duration_cast<milliseconds>(
+                        left * most_patience_share))
+        return;
+    overdue_ = node_.timers_.after(*patience,
+                                   [weak = weak_from_this()]
+                                   {
+                                       if (auto self = weak.lock())
+                                           self->on_overdue();
+                                   });
+}
+
+void origin_call::on_overdue()
+{
+    auto const keep = shared_from_this();
+    if (done_ || !at_ || choose() == nullptr)
+        return;
+    // Under pressure all answers are late, and each repeat repeats the calls
+    // below it.
+    if (!node_.answers_.failures_are_rare(route_.name))
+        return;
+    node_.answers_.on_failure(route_.name);
+    log_event("answer_overdue")
+        .add("id", call_.id.value())
+        .add("service", call_.terms.service.value())
+        .add("at", at_->value())
+        .add("after_ms", std::chrono::duration_cast<milliseconds>(
+                             mono_now() - attempt_began_)
+                             .count());
+    // Another attempt may not come; then this one is waited for.
+    auto const step = policy_.on_overdue([&] { return spend_repeat(); });
+    if (step != mesh::next_step::repeat)
+        return;
+    note_reached(*at_, mesh::attempt_end::unknown);
+    cancel_attempt();
+    call_.terms.is_repeat = true;
+    ++node_.counters_.repeats;
+    attempt();
+}
+
+bool origin_call::spend_repeat()
+{
+    return node_.allowance_.spend(call_.terms.service,
+                                  call_.terms.rank <= urgent_rank, mono_now());
+}
+
+void origin_call::note_reached(mesh::host_address const& host,
+                               mesh::attempt_end end)
+{
+    if (end == mesh::attempt_end::not_offered)
+        return;
+    auto const add = [&](std::vector<mesh::host_address>& to)
+    {
+        if (std::find(to.begin(), to.end(), host) == to.end())
+            to.push_back(host);
+    };
+    add(reached_);
+    if (end == mesh::attempt_end::not_run)
+        add(refused_by_);
+    else
+        std::erase(refused_by_, host);
+}
+
 void origin_call::on_timeout()
 {
     if (done_)
@@ -223,6 +332,7 @@
     cancel_attempt();
     done_ = true;
     node_.timers_.cancel(timeout_);
+    node_.timers_.cancel(overdue_);
 }
 
 void origin_call::cancel_attempt()
@@ -260,7 +370,7 @@
         .add("attempts", attempts_)
         .add("after_ms", waited.count())
         .add("time_left_ms", time_left(call_.deadline, mono_now()).count())
-        .add("priority", call_.terms.priority)
+        .add("rank", call_.terms.rank)
         .add("version", call_.terms.version.value());
     switch (step)
     {
@@ -284,6 +394,7 @@
 {
     done_ = true;
     node_.timers_.cancel(timeout_);
+    node_.timers_.cancel(overdue_);
     caller_->respond(std::move(bytes), node_.stopping_);
 }
 
--- a/src/pollenhall_sidecar/origin_call.hpp
+++ b/src/pollenhall_sidecar/origin_call.hpp
@@ -13,7 +13,7 @@
 {
 public:
     origin_call(traffic_node& node, std::shared_ptr<server_connection> caller,
-                mesh_call call, mesh::attempt_limits limits);
+                mesh_call call, mesh::route const& route);
     ~origin_call();
     origin_call(origin_call const&) = delete;
     origin_call& operator=(origin_call const&) = delete;
@@ -29,6 +29,12 @@
     read_peer_result(mesh::host_address const& host, exchange_result result);
     void on_attempt_end(attempt_result result);
     void on_timeout();
+    // Has another upstream run the call if the answer is overdue.
+    void watch_answer();
+    void on_overdue();
+    [[nodiscard]] mesh::host_entry const* choose();
+    bool spend_repeat();
+    void note_reached(mesh::host_address const& host, mesh::attempt_end end);
     void on_abandoned();
     void cancel_attempt();
     void answer(mesh::next_step step, attempt_result const& result);
@@ -37,14 +43,23 @@
     traffic_node& node_;
     std::shared_ptr<server_connection> caller_;
     mesh_call call_;
+    // The table that holds route_ is kept alive.
+    std::shared_ptr<mesh::route_table const> routes_;
+    mesh::route const& route_;
     mesh::attempt_policy policy_;
     // Hosts that were tried.
     std::vector<mesh::host_address> tried_;
+    // Hosts whose upstream saw the request, and of these the ones that said
+    // that they did not run it.
+    std::vector<mesh::host_address> reached_;
+    std::vector<mesh::host_address> refused_by_;
     // Where the attempt under way is; empty between attempts.
     std::optional<mesh::host_address> at_;
     std::optional<mesh::gate_call> at_gate_;
     std::shared_ptr<client_connection> exchange_;
     deadline_timers::handle timeout_;
+    deadline_timers::handle overdue_;
+    mono_time attempt_began_{};
     mono_time arrived_;
     int attempts_ = 0;
     bool done_ = false;
--- a/src/pollenhall_sidecar/traffic_node.cpp
+++ b/src/pollenhall_sidecar/traffic_node.cpp
@@ -147,6 +147,14 @@
     gate_.set_upstream(std::move(upstream));
 }
 
+call_terms const* traffic_node::parent_of(std::string const& id) const
+{
+    auto const dot = id.rfind('.');
+    return dot == std::string::npos
+               ? nullptr
+               : gate_.running(request_id(id.substr(0, dot)));
+}
+
 std::shared_ptr<client_pool>
 traffic_node::peer_pool(mesh::host_entry const& host)
 {
@@ -220,15 +228,17 @@
     if (route->timeout.count() > 0)
         patience = std::min(patience, route->timeout);
 
-    mesh_call call{.id = request_id(*id),
-                   .terms = {.service = rotation_.next(*route),
-                             .idempotent = route->idempotent,
-                             .priority = route->priority,
-                             .objective = route->objective,
-                             .version = routes_->config().version},
-                   .deadline = last_request_ + patience};
-    mesh::attempt_limits const limits{.idempotent = route->idempotent,
-                                      .attempts = route->attempts};
+    auto const* parent = parent_of(*id);
+    mesh_call call{
+        .id = request_id(*id),
+        .terms = {.service = rotation_.next(*route),
+                  .idempotent = route->idempotent,
+                  .rank = parent == nullptr ? rank_of_entry(route->priority)
+                                            : rank_of_inner_call(parent->rank),
+                  .objective = route->objective,
+                  .is_repeat = parent != nullptr && parent->is_repeat,
+                  .version = routes_->config().version},
+        .deadline = last_request_ + patience};
     request.fields.remove_hop_by_hop();
     for (auto const* name :
          {&names.expected_incarnation, &names.not_run, &names.incarnation,
@@ -236,7 +246,7 @@
         request.fields.remove(*name);
     request.fields.set(names.caller_service, options_.service.value());
     call.request = std::move(request);
-    std::make_shared<origin_call>(*this, from, std::move(call), limits)
+    std::make_shared<origin_call>(*this, from, std::move(call), *route)
         ->start();
 }
 
@@ -312,7 +322,8 @@
                                                 : mesh::config_version(),
                              .load = gate_.load()};
     auto& response = result.response;
-    if (result.end != mesh::attempt_end::answered)
+    if (result.end != mesh::attempt_end::answered &&
+        result.end != mesh::attempt_end::failed)
         response = {.status = result.end == mesh::attempt_end::timed_out ? 504
                               : result.end == mesh::attempt_end::unknown ? 502
                                                                          : 503};
--- a/src/pollenhall_sidecar/traffic_node.hpp
+++ b/src/pollenhall_sidecar/traffic_node.hpp
@@ -8,6 +8,8 @@
 #include "listener.hpp"
 #include "node_options.hpp"
 
+#include <pollenhall/mesh/answer_record.hpp>
+
 #include <atomic>
 #include <random>
 
@@ -75,6 +77,9 @@
     [[nodiscard]] std::string own_answer(int status, std::string_view reason,
                                          std::string const& id,
                                          milliseconds retry_after) const;
+    /// The call at the upstream on this host during which a request with this
+    /// id was made; null for a request from outside.
+    [[nodiscard]] call_terms const* parent_of(std::string const& id) const;
     void note_version(mesh::config_version version,
                       mesh::host_address const& host);
     std::shared_ptr<client_pool> peer_pool(mesh::host_entry const& host);
@@ -89,6 +94,7 @@
     mesh::placement placement_;
     mesh::retry_allowance allowance_;
     mesh::split_rotation rotation_;
+    mesh::answer_record answers_;
     std::shared_ptr<mesh::route_table const> routes_;
     std::shared_ptr<std::string const> shared_state_;
     std::map<mesh::host_address, std::shared_ptr<client_pool>> pools_;
