--- a/src/include/pollenhall/crash_guard.hpp
+++ b/src/include/pollenhall/crash_guard.hpp
@@ -26,6 +26,8 @@
     crash_id crash;
     /// Time for which the suspicion is held.
     milliseconds time_left{0};
+
+    bool operator==(crash_suspicion const&) const = default;
 };
 
 /// Settings of `crash_guard`.
--- a/src/include/pollenhall/mesh/attempt_policy.hpp
+++ b/src/include/pollenhall/mesh/attempt_policy.hpp
@@ -62,6 +62,8 @@
     double use_share = 0.8;
     /// Part of it that is kept for calls of the most urgent requests.
     double urgent_share = 0.35;
+
+    bool operator==(retry_allowance_options const&) const = default;
 };
 
 /// Keeps the repeats of each service within the allowance that all nodes
--- a/src/include/pollenhall/mesh/configuration.hpp
+++ b/src/include/pollenhall/mesh/configuration.hpp
@@ -63,7 +63,7 @@
 struct caller_limits
 {
     std::size_t header_bytes = 16'384;
-    std::size_t body_bytes = 64 * 1'024 * 1'024;
+    std::size_t body_bytes = std::size_t{64} * 1'024 * 1'024;
     milliseconds header_timeout{3'000};
     milliseconds idle_timeout{15'000};
 };
--- a/src/include/pollenhall/mesh/header_names.hpp
+++ b/src/include/pollenhall/mesh/header_names.hpp
@@ -27,6 +27,8 @@
     std::string not_run;
     /// Seconds, with fractions, after which a caller may come back.
     std::string retry_after;
+
+    bool operator==(header_names const&) const = default;
 };
 
 } // namespace pollenhall::mesh
--- a/src/include/pollenhall/mesh/http_reader.hpp
+++ b/src/include/pollenhall/mesh/http_reader.hpp
@@ -17,7 +17,7 @@
 struct http_reader_limits
 {
     std::size_t header_bytes = 16'384;
-    std::size_t body_bytes = 64 * 1'024 * 1'024;
+    std::size_t body_bytes = std::size_t{64} * 1'024 * 1'024;
 };
 
 /// State of the message that is being read.
--- a/src/include/pollenhall/mesh/placement.hpp
+++ b/src/include/pollenhall/mesh/placement.hpp
@@ -5,6 +5,7 @@
 
 #pragma once
 
+#include <pollenhall/crash_guard.hpp>
 #include <pollenhall/ids.hpp>
 #include <pollenhall/mesh/registration.hpp>
 #include <pollenhall/mesh/upstream_load.hpp>
@@ -35,6 +36,8 @@
     milliseconds cold_left{0};
     // Start of the node that wrote it.
     boot_id boot;
+    // Requests that were at its upstream when it crashed.
+    std::vector<crash_suspicion> suspicions;
 
     bool operator==(host_entry const&) const = default;
 };
--- a/src/libpollenhall_io/log_lines.cpp
+++ b/src/libpollenhall_io/log_lines.cpp
@@ -16,7 +16,7 @@
 {
 
 // Some thousand lines: what a storm writes in the time between two flushes.
-constexpr std::size_t max_buffered = 512 * 1'024;
+constexpr std::size_t max_buffered = std::size_t{512} * 1'024;
 
 struct line_buffer
 {
--- a/src/libpollenhall_mesh/registration_test.cpp
+++ b/src/libpollenhall_mesh/registration_test.cpp
@@ -114,7 +114,7 @@
                 auto const beats = *rc::gen::inRange(1, 6);
                 for (int i = 1; i <= beats; ++i)
                     sent.push_back(beat(start % 2 == 0 ? "a" : "b",
-                                        100 * (start + 1), i,
+                                        std::int64_t{100} * (start + 1), i,
                                         *rc::gen::arbitrary<bool>()));
             }
             auto const newest = sent.back();
--- a/src/pollenhall_sidecar/call.cpp
+++ b/src/pollenhall_sidecar/call.cpp
@@ -3,6 +3,8 @@
 
 #include "call.hpp"
 
+#include <pollenhall/hashing.hpp>
+
 #include <algorithm>
 #include <sstream>
 
@@ -98,6 +100,16 @@
     return report;
 }
 
+fingerprint fingerprint_of(mesh::http_request const& request,
+                           mesh::header_names const& names)
+{
+    auto hash = hash_text(request.method + " " + request.target);
+    for (auto const* name : {"Host", names.caller_service.c_str()})
+        if (auto const* value = request.fields.find(name))
+            hash = combine_hashes(hash, hash_text(*value));
+    return fingerprint(combine_hashes(hash, hash_text(request.body)));
+}
+
 milliseconds time_left(mono_time deadline, mono_time now)
 {
     return std::max(milliseconds{0},
--- a/src/pollenhall_sidecar/call.hpp
+++ b/src/pollenhall_sidecar/call.hpp
@@ -93,6 +93,11 @@
 std::string write_report(gate_report const& report);
 std::optional<gate_report> parse_report(std::string_view text);
 
+/// Fingerprint of what a request asks for: the same when a caller sends it
+/// again under another id, at whatever host.
+fingerprint fingerprint_of(mesh::http_request const& request,
+                           mesh::header_names const& names);
+
 /// Time left of a call in whole ms, not below zero.
 milliseconds time_left(mono_time deadline, mono_time now);
 
--- a/src/pollenhall_sidecar/client_connection.cpp
+++ b/src/pollenhall_sidecar/client_connection.cpp
@@ -243,9 +243,8 @@
     auto const self = shared_from_this();
     auto const on_end = std::move(request_.on_end);
     request_ = {};
-    if (!reusable)
-        close();
-    else if (auto const pool = pool_.lock())
+    auto const pool = pool_.lock();
+    if (reusable && pool)
         pool->put_back(self);
     else
         close();
--- a/src/pollenhall_sidecar/control_node.cpp
+++ b/src/pollenhall_sidecar/control_node.cpp
@@ -8,15 +8,13 @@
 #include <pollenhall/io/log_event.hpp>
 
 #include <algorithm>
+#include <iterator>
 
 namespace pollenhall::sidecar
 {
 namespace
 {
 
-// One watch waits this long. Short enough that a connection gone silent is
-// noticed soon, long enough that a waiting watch costs little.
-constexpr milliseconds watch_time{4'000};
 // Pauses between calls to a store that fails: short at first, since most
 // failures are of one call, and bounded so that entries are back within two
 // seconds of the store's return.
@@ -34,6 +32,8 @@
 // Slots of an upstream that was found by a health check and is in no entry;
 // few, as its first heartbeat tells within seconds.
 constexpr int assumed_slots = 32;
+// Suspicions of the latest crashes that an entry carries.
+constexpr std::ptrdiff_t most_suspicions = 32;
 
 } // namespace
 
@@ -85,25 +85,29 @@
 
 void control_node::watch_store()
 {
-    store_.watch(layout_.common_prefix, seen_, watch_time,
-                 [this](absl::StatusOr<store_items> changes)
-                 {
-                     if (!changes.ok())
-                     {
-                         on_store_error("watch", changes.status());
-                         // What happened meanwhile is only known by reading.
-                         timers_.after(retry_pause_, [this] { read_store(); });
-                         return;
-                     }
-                     on_store_answer();
-                     apply_items(*changes, false);
-                     seen_ = std::max(seen_, changes->at);
-                     publish_entry();
-                     if (must_read_)
-                         read_store();
-                     else
-                         watch_store();
-                 });
+    milliseconds const spread{static_cast<std::int64_t>(
+        random_() %
+        static_cast<std::uint64_t>(
+            (options_.watch.most_time - options_.watch.least_time).count()))};
+    store_.watch(
+        layout_.common_prefix, seen_, options_.watch.least_time + spread,
+        [this](absl::StatusOr<store_items> changes)
+        {
+            if (!changes.ok())
+            {
+                on_store_error("watch", changes.status());
+                // What happened meanwhile is only known by reading.
+                timers_.after(retry_pause_, [this] { read_store(); });
+                return;
+            }
+            on_store_answer();
+            apply_items(*changes, false);
+            seen_ = std::max(seen_, changes->at);
+            publish_entry();
+            if (changes->items.empty())
+                return watch_store();
+            timers_.after(options_.watch.pause, [this] { watch_store(); });
+        });
 }
 
 void control_node::on_store_error(std::string_view call,
@@ -253,7 +257,18 @@
             .ready = upstream.accepts_work() && !stopping_,
             .cold_left = upstream.last.sequence <= 2 ? upstream.last.cold_left
                                                      : milliseconds{0},
-            .boot = boot_};
+            .boot = boot_,
+            .suspicions = suspicions_};
+}
+
+void control_node::on_suspicions(std::vector<crash_suspicion> suspicions)
+{
+    std::move(suspicions.begin(), suspicions.end(),
+              std::back_inserter(suspicions_));
+    if (std::ssize(suspicions_) > most_suspicions)
+        suspicions_.erase(suspicions_.begin(),
+                          suspicions_.end() - most_suspicions);
+    publish_entry();
 }
 
 void control_node::publish_entry()
@@ -269,7 +284,8 @@
         if (known.ok() && known->incarnation == entry.incarnation &&
             known->ready == entry.ready && known->slots == entry.slots &&
             known->gate_port == entry.gate_port && known->zone == entry.zone &&
-            known->service == entry.service)
+            known->service == entry.service &&
+            known->suspicions == entry.suspicions)
             return;
     }
     writing_ = true;
@@ -386,7 +402,7 @@
     upstream_pool_->start(
         {.bytes = mesh::write_request(request),
          .deadline = mono_now() + health_patience,
-         .on_end = [this](exchange_result result)
+         .on_end = [this](exchange_result const& result)
          {
              auto const* incarnation =
                  result.response.fields.find(options_.headers.incarnation);
@@ -458,7 +474,7 @@
     request.fields.add("Host", host.value());
     pool->start({.bytes = mesh::write_request(request),
                  .deadline = mono_now() + peer_patience,
-                 .on_end = [this, host](exchange_result result)
+                 .on_end = [this, host](exchange_result const& result)
                  { on_peer_state(host, result); }});
 }
 
--- a/src/pollenhall_sidecar/control_node.hpp
+++ b/src/pollenhall_sidecar/control_node.hpp
@@ -49,6 +49,8 @@
     mesh::heartbeat_result
     on_heartbeat(mesh::upstream_heartbeat const& heartbeat);
     void on_leave(mesh::incarnation_id const& incarnation);
+    /// Tells other nodes what a crash casts suspicion on.
+    void on_suspicions(std::vector<crash_suspicion> suspicions);
     /// A peer's answer shows a configuration that this node does not have.
     void on_newer_version(mesh::config_version version,
                           mesh::host_address const& host);
@@ -94,6 +96,8 @@
     std::map<mesh::host_address, mesh::host_entry> hosts_;
     mesh::upstream_registration registration_;
 
+    std::vector<crash_suspicion> suspicions_;
+
     // What the store is known to hold under the own key.
     std::optional<std::string> published_;
     store_revision published_revision_;
--- a/src/pollenhall_sidecar/gate.cpp
+++ b/src/pollenhall_sidecar/gate.cpp
@@ -19,6 +19,9 @@
 // An upstream answers by itself when a call's time is over; the gate waits
 // this much longer, so that the connection can be kept.
 constexpr milliseconds deadline_margin{60};
+// Connections that break off within this time before the upstream turns out
+// to be gone were broken by its crash.
+constexpr milliseconds crash_window{1'000};
 // Shortest time with which it is worth to start a call.
 constexpr milliseconds least_time{5};
 
@@ -235,7 +238,13 @@
             .add("after_ms",
                  std::chrono::duration_cast<milliseconds>(now - item.started)
                      .count());
+    if (result.end == exchange_end::broken)
+        note_broken(item, now);
+    else if (result.end == exchange_end::not_connected)
+        confirm_crash(now);
     auto outcome = read_result(std::move(result));
+    if (outcome.end == mesh::attempt_end::answered && on_completed_)
+        on_completed_(item.call);
     bool const failed = outcome.end != mesh::attempt_end::answered &&
                         outcome.end != mesh::attempt_end::failed;
     queue_.on_finished(now - item.started, failed, now);
@@ -243,6 +252,37 @@
     start_calls();
 }
 
+void gate::note_broken(active_call const& item, mono_time now)
+{
+    std::erase_if(broken_, [&](auto const& old)
+                  { return now - old.broken > crash_window; });
+    broken_.push_back(
+        {.broken = now,
+         .started = item.started,
+         .content = fingerprint_of(item.call.request, options_.headers)});
+}
+
+void gate::confirm_crash(mono_time now)
+{
+    std::erase_if(broken_, [&](auto const& old)
+                  { return now - old.broken > crash_window; });
+    if (broken_.empty())
+        return;
+    std::sort(broken_.begin(), broken_.end(),
+              [](auto const& left, auto const& right)
+              { return left.started > right.started; });
+    std::vector<fingerprint> suspects;
+    for (auto const& item : broken_)
+        suspects.push_back(item.content);
+    broken_.clear();
+    log_event("upstream_crashed", log_level::warning)
+        .add("incarnation",
+             upstream_ ? upstream_->last.incarnation.value() : "")
+        .add("in_flight", static_cast<std::int64_t>(suspects.size()));
+    if (on_crash_)
+        on_crash_(std::move(suspects));
+}
+
 void gate::finish(mesh::gate_call number, attempt_result result)
 {
     auto node = calls_.extract(number);
--- a/src/pollenhall_sidecar/gate.hpp
+++ b/src/pollenhall_sidecar/gate.hpp
@@ -42,6 +42,17 @@
     /// Takes a call; `on_end` is called once unless the call is cancelled. It
     /// may be called before this returns.
     mesh::gate_call submit(mesh_call call, attempt_handler on_end);
+    /// Called with the requests that the upstream ran when it crashed, the
+    /// latest start first.
+    void on_crash(std::function<void(std::vector<fingerprint>)> action)
+    {
+        on_crash_ = std::move(action);
+    }
+    /// Called with each request that ran to a good end.
+    void on_completed(std::function<void(mesh_call const&)> action)
+    {
+        on_completed_ = std::move(action);
+    }
     /// Gives a call up without calling `on_end`. One that may not be repeated
     /// and already runs is left to run to its end.
     void cancel(mesh::gate_call number);
@@ -72,6 +83,8 @@
     void on_exchange_end(mesh::gate_call number, exchange_result result);
     [[nodiscard]] attempt_result read_result(exchange_result result) const;
     void finish(mesh::gate_call number, attempt_result result);
+    void note_broken(active_call const& item, mono_time now);
+    void confirm_crash(mono_time now);
     void forget_running(request_id const& id, mesh::gate_call number);
     void drop_waiting();
     void schedule_sweep();
@@ -84,6 +97,17 @@
     std::optional<mesh::registered_upstream> upstream_;
     std::map<mesh::gate_call, active_call> calls_;
     std::map<request_id, mesh::gate_call> running_;
+    // Calls whose connection the upstream broke off lately, by when they
+    // started.
+    struct broken_call
+    {
+        mono_time broken{};
+        mono_time started{};
+        fingerprint content;
+    };
+    std::vector<broken_call> broken_;
+    std::function<void(std::vector<fingerprint>)> on_crash_;
+    std::function<void(mesh_call const&)> on_completed_;
     std::uint64_t last_number_ = 0;
     bool sweep_scheduled_ = false;
 };
--- a/src/pollenhall_sidecar/host_directory.cpp
+++ b/src/pollenhall_sidecar/host_directory.cpp
@@ -15,6 +15,10 @@
 
 json to_json(mesh::host_entry const& entry)
 {
+    json suspicions = json::array();
+    for (auto const& item : entry.suspicions)
+        suspicions.push_back(
+            {item.content.value(), item.crash.value(), item.time_left.count()});
     return {{"host", entry.host.value()},
             {"gate_port", entry.gate_port},
             {"zone", entry.zone.value()},
@@ -23,12 +27,19 @@
             {"slots", entry.slots},
             {"ready", entry.ready},
             {"cold_ms", entry.cold_left.count()},
-            {"boot", entry.boot.value()}};
+            {"boot", entry.boot.value()},
+            {"suspicions", suspicions}};
 }
 
 // Throws json::exception on fields that are missing or of another type.
 mesh::host_entry from_json(json const& item)
 {
+    std::vector<crash_suspicion> suspicions;
+    for (auto const& part : item.at("suspicions"))
+        suspicions.push_back(
+            {.content = fingerprint(part.at(0).get<std::uint64_t>()),
+             .crash = crash_id(part.at(1).get<std::uint64_t>()),
+             .time_left = milliseconds(part.at(2).get<std::int64_t>())});
     return {.host = mesh::host_address(item.at("host").get<std::string>()),
             .gate_port = item.at("gate_port").get<int>(),
             .zone = zone_name(item.at("zone").get<std::string>()),
@@ -38,7 +49,8 @@
             .slots = item.at("slots").get<int>(),
             .ready = item.at("ready").get<bool>(),
             .cold_left = milliseconds(item.at("cold_ms").get<std::int64_t>()),
-            .boot = boot_id(item.at("boot").get<std::int64_t>())};
+            .boot = boot_id(item.at("boot").get<std::int64_t>()),
+            .suspicions = std::move(suspicions)};
 }
 
 absl::Status check(mesh::host_entry const& entry)
--- a/src/pollenhall_sidecar/node_options.hpp
+++ b/src/pollenhall_sidecar/node_options.hpp
@@ -11,6 +11,22 @@
 namespace pollenhall::sidecar
 {
 
+/// How a node watches the store.
+struct store_watch_options
+{
+    /// One watch waits between these times. Long, since each is paid for;
+    /// spread, so that when connections go silent some node of the fleet
+    /// notices soon and the others hear of a new configuration from its
+    /// answers.
+    milliseconds least_time{4'000};
+    milliseconds most_time{12'000};
+    /// Pause between the events of one watch and the next watch. When many
+    /// hosts start, their entries come in a few batches.
+    milliseconds pause{300};
+
+    bool operator==(store_watch_options const&) const = default;
+};
+
 /// What a node is told when it starts.
 struct node_options
 {
@@ -33,6 +49,9 @@
     mesh::retry_allowance_options retries;
     /// Time from the request to stop until the process is killed.
     milliseconds stop_grace{6'000};
+    store_watch_options watch{};
+
+    bool operator==(node_options const&) const = default;
 };
 
 } // namespace pollenhall::sidecar
--- a/src/pollenhall_sidecar/origin_call.cpp
+++ b/src/pollenhall_sidecar/origin_call.cpp
@@ -127,7 +127,7 @@
             self->node_.placement_.on_finished(*self->at_);
             self->node_.placement_.on_load(*self->at_, self->node_.gate_.load(),
                                            mono_now());
-            self->on_attempt_end(std::move(result));
+            self->on_attempt_end(result);
         });
     // The gate may have answered already, and a next attempt be under way.
     if (!done_ && at_ && *at_ == node_.options_.host)
@@ -203,7 +203,7 @@
             .retry_after = report->retry_after};
 }
 
-void origin_call::on_attempt_end(attempt_result result)
+void origin_call::on_attempt_end(attempt_result const& result)
 {
     auto const keep = shared_from_this();
     auto const now = mono_now();
--- a/src/pollenhall_sidecar/origin_call.hpp
+++ b/src/pollenhall_sidecar/origin_call.hpp
@@ -27,7 +27,7 @@
     void on_peer_end(mesh::host_address const& host, exchange_result result);
     [[nodiscard]] attempt_result
     read_peer_result(mesh::host_address const& host, exchange_result result);
-    void on_attempt_end(attempt_result result);
+    void on_attempt_end(attempt_result const& result);
     void on_timeout();
     // Has another upstream run the call if the answer is overdue.
     void watch_answer();
--- a/src/pollenhall_sidecar/sidecar_test.cpp
+++ b/src/pollenhall_sidecar/sidecar_test.cpp
@@ -64,6 +64,9 @@
     std::vector<mesh::http_request> seen;
     int abandoned = 0;
 
+    /// Takes no more connections, as if the process had ended.
+    void end() { listener_.stop_accepting(); }
+
     [[nodiscard]] asio::ip::tcp::endpoint const& address() const
     {
         return address_;
@@ -457,6 +460,36 @@
     }
 }
 
+TEST_CASE("a request that crashes upstreams")
+{
+    two_nodes nodes;
+    nodes.know_only(0);
+    std::vector<crash_suspicion> cast;
+    nodes.first.on_suspicions([&](auto suspicions)
+                              { cast = std::move(suspicions); });
+    nodes.first_upstream.script = {step::break_off};
+    CHECK(nodes.call("GET", "/read/poison").response.status == 502);
+    CHECK(cast.empty());
+    nodes.first_upstream.end();
+    CHECK(nodes.call("GET", "/read/other").response.status == 503);
+    REQUIRE(cast.size() == 1);
+
+    SUBCASE("is refused everywhere once another crash names it")
+    {
+        auto known = nodes.hosts();
+        known[0].suspicions = cast;
+        auto second = cast.front();
+        second.crash = crash_id(second.crash.value() + 1);
+        known[1].suspicions = {second};
+        known[0].host = mesh::host_address("127.0.0.3");
+        nodes.first.set_hosts(known);
+        auto const runs = nodes.runs();
+        CHECK(nodes.call("GET", "/read/poison").response.status == 503);
+        CHECK(nodes.runs() == runs);
+        CHECK(nodes.call("GET", "/read/another").response.status == 200);
+    }
+}
+
 TEST_CASE("a call between nodes is told in one header field")
 {
     call_terms const terms{.service = service_name("shop"),
--- a/src/pollenhall_sidecar/traffic_node.cpp
+++ b/src/pollenhall_sidecar/traffic_node.cpp
@@ -4,11 +4,13 @@
 
 #include "origin_call.hpp"
 
+#include <pollenhall/hashing.hpp>
 #include <pollenhall/io/clocks.hpp>
 #include <pollenhall/io/log_event.hpp>
 
 #include <algorithm>
 #include <charconv>
+#include <span>
 
 namespace pollenhall::sidecar
 {
@@ -36,6 +38,12 @@
 // Share of the stop time after which calls of peers are sent elsewhere.
 constexpr double peers_share = 0.2;
 constexpr milliseconds stop_check_interval{50};
+// Requests that a crash casts suspicion on, the latest starts first: the one
+// that crashed the upstream began a moment before.
+constexpr std::size_t most_suspects = 16;
+// A request that crashes upstreams is asked to stay away for as long as a
+// caller waits at most.
+constexpr milliseconds quarantine_pause{5'000};
 // Share of the stop time after which requests of callers are refused: what is
 // taken later might not end before the process does.
 constexpr double callers_share = 0.55;
@@ -113,6 +121,15 @@
 
 absl::Status traffic_node::open()
 {
+    gate_.on_crash([this](std::vector<fingerprint> const& in_flight)
+                   { on_crash(in_flight); });
+    gate_.on_completed(
+        [this](mesh_call const& call)
+        {
+            if (has_suspicions_)
+                guard_.on_completed(
+                    fingerprint_of(call.request, options_.headers));
+        });
     if (auto status = callers_.open(options_.outbound); !status.ok())
         return status;
     return peers_.open(options_.gate);
@@ -131,6 +148,9 @@
 void traffic_node::set_hosts(std::vector<mesh::host_entry> hosts)
 {
     placement_.set_hosts(hosts, mono_now());
+    for (auto const& host : hosts)
+        if (host.host != options_.host)
+            take_suspicions(host);
     allowance_.set_nodes(hosts.size());
     std::erase_if(pools_,
                   [&](auto const& item)
@@ -147,6 +167,44 @@
     gate_.set_upstream(std::move(upstream));
 }
 
+void traffic_node::on_crash(std::vector<fingerprint> const& in_flight)
+{
+    crash_id const crash(combine_hashes(
+        hash_text(options_.host.value()),
+        combine_hashes(
+            static_cast<std::uint64_t>(wall_now().time_since_epoch().count()),
+            ++crashes_)));
+    auto const latest =
+        std::span(in_flight).first(std::min(in_flight.size(), most_suspects));
+    auto suspicions = guard_.on_crash(crash, latest, mono_now());
+    has_suspicions_ = true;
+    if (on_suspicions_)
+        on_suspicions_(std::move(suspicions));
+}
+
+void traffic_node::take_suspicions(mesh::host_entry const& host)
+{
+    for (auto const& suspicion : host.suspicions)
+    {
+        has_suspicions_ = true;
+        if (guard_.add(suspicion, mono_now()))
+            log_event("crash_suspicion_heard")
+                .add("from", host.host.value())
+                .add("crash",
+                     static_cast<std::int64_t>(suspicion.crash.value() >> 1))
+                .add("content",
+                     static_cast<std::int64_t>(suspicion.content.value() >> 1));
+    }
+}
+
+bool traffic_node::is_quarantined(mesh::http_request const& request,
+                                  service_name const& service)
+{
+    return has_suspicions_ &&
+           guard_.refuses(fingerprint_of(request, options_.headers),
+                          placement_.known(service), mono_now());
+}
+
 call_terms const* traffic_node::parent_of(std::string const& id) const
 {
     auto const dot = id.rfind('.');
@@ -245,6 +303,8 @@
           &names.signature, &terms_field, &result_field})
         request.fields.remove(*name);
     request.fields.set(names.caller_service, options_.service.value());
+    if (is_quarantined(request, call.terms.service))
+        return refuse(from, 503, "quarantined", *id, quarantine_pause);
     call.request = std::move(request);
     std::make_shared<origin_call>(*this, from, std::move(call), *route)
         ->start();
--- a/src/pollenhall_sidecar/traffic_node.hpp
+++ b/src/pollenhall_sidecar/traffic_node.hpp
@@ -55,6 +55,13 @@
         on_newer_version_ = std::move(action);
     }
 
+    /// Called with what a crash of the upstream beside the node casts
+    /// suspicion on, for other nodes.
+    void on_suspicions(std::function<void(std::vector<crash_suspicion>)> action)
+    {
+        on_suspicions_ = std::move(action);
+    }
+
     /// Answers what was taken, takes what comes, and calls `on_stopped` when
     /// nothing is left or `grace` is over.
     void stop(milliseconds grace, std::function<void()> on_stopped);
@@ -77,6 +84,10 @@
     [[nodiscard]] std::string own_answer(int status, std::string_view reason,
                                          std::string const& id,
                                          milliseconds retry_after) const;
+    void on_crash(std::vector<fingerprint> const& in_flight);
+    void take_suspicions(mesh::host_entry const& host);
+    [[nodiscard]] bool is_quarantined(mesh::http_request const& request,
+                                      service_name const& service);
     /// The call at the upstream on this host during which a request with this
     /// id was made; null for a request from outside.
     [[nodiscard]] call_terms const* parent_of(std::string const& id) const;
@@ -100,6 +111,12 @@
     std::map<mesh::host_address, std::shared_ptr<client_pool>> pools_;
     listener callers_;
     listener peers_;
+    crash_guard guard_;
+    // Whether the guard has been told of any crash; fingerprints are only
+    // computed from then on.
+    bool has_suspicions_ = false;
+    std::uint64_t crashes_ = 0;
+    std::function<void(std::vector<crash_suspicion>)> on_suspicions_;
     traffic_counters counters_;
     std::mt19937_64 random_;
     std::function<void(mesh::config_version, mesh::host_address)>
