--- a/src/pollenhall_sidecar/control_node.cpp
+++ b/src/pollenhall_sidecar/control_node.cpp
@@ -39,10 +39,11 @@
 
 control_node::control_node(asio::io_context& context, node_options options,
                            store_layout layout, shared_store& store,
-                           configuration_decoder decode, traffic_feed feed)
+                           configuration_decoder decode, traffic_feed feed,
+                           node_metrics& metrics)
     : options_(std::move(options)), layout_(std::move(layout)), store_(store),
-      decode_(std::move(decode)), feed_(std::move(feed)), context_(context),
-      timers_(context), random_(std::random_device{}()),
+      decode_(std::move(decode)), feed_(std::move(feed)), metrics_(metrics),
+      context_(context), timers_(context), random_(std::random_device{}()),
       boot_(wall_now().time_since_epoch().count()),
       registration_(options_.service,
                     options_.upstream.address().to_string() + ":" +
@@ -121,6 +122,7 @@
     if (store_reachable_ && status.code() != absl::StatusCode::kOutOfRange)
     {
         store_reachable_ = false;
+        metrics_.set_store(false);
         timers_.after(peer_interval, [this] { ask_some_peer(); });
     }
     auto const doubled =
@@ -137,6 +139,7 @@
     if (!store_reachable_)
         log_event("store_regained").add("revision", seen_.value());
     store_reachable_ = true;
+    metrics_.set_store(true);
     retry_pause_ = milliseconds{0};
 }
 
@@ -188,6 +191,7 @@
     routes_ = std::make_shared<mesh::route_table const>(std::move(*decoded));
     configuration_text_ = text;
     feed_.set_routes(routes_);
+    metrics_.set_configuration(version().value());
     share_state();
     if (is_first)
         timers_.after(heartbeat_patience, [this] { check_upstream_health(); });
--- a/src/pollenhall_sidecar/control_node.hpp
+++ b/src/pollenhall_sidecar/control_node.hpp
@@ -5,6 +5,7 @@
 
 #include "client_pool.hpp"
 #include "host_directory.hpp"
+#include "node_metrics.hpp"
 #include "node_options.hpp"
 #include "shared_store.hpp"
 
@@ -37,7 +38,8 @@
 public:
     control_node(asio::io_context& context, node_options options,
                  store_layout layout, shared_store& store,
-                 configuration_decoder decode, traffic_feed feed);
+                 configuration_decoder decode, traffic_feed feed,
+                 node_metrics& metrics);
 
     void start();
     /// From now on the node is not ready, and peers are told so.
@@ -59,6 +61,7 @@
     {
         return routes_ ? routes_->config().version : mesh::config_version();
     }
+    [[nodiscard]] std::string metrics_page() const { return metrics_.page(); }
     [[nodiscard]] bool store_reachable() const { return store_reachable_; }
 
 private:
@@ -86,6 +89,7 @@
     shared_store& store_;
     configuration_decoder decode_;
     traffic_feed feed_;
+    node_metrics& metrics_;
     asio::io_context& context_;
     deadline_timers timers_;
     std::mt19937_64 random_;
--- a/src/pollenhall_sidecar/gate.cpp
+++ b/src/pollenhall_sidecar/gate.cpp
@@ -28,8 +28,8 @@
 } // namespace
 
 gate::gate(asio::io_context& context, deadline_timers& timers,
-           gate_options options)
-    : timers_(timers), options_(std::move(options)),
+           gate_options options, node_metrics& metrics)
+    : metrics_(metrics), timers_(timers), options_(std::move(options)),
       pool_(std::make_shared<client_pool>(
           context, timers, options_.upstream_address, client_pool_options{})),
       queue_(options_.queue)
@@ -99,7 +99,8 @@
         return number;
     }
     calls_.emplace(number, active_call{.call = std::move(call),
-                                       .on_end = std::move(on_end)});
+                                       .on_end = std::move(on_end),
+                                       .arrived = now});
     start_calls();
     sweep();
     return number;
@@ -245,6 +246,10 @@
     auto outcome = read_result(std::move(result));
     if (outcome.end == mesh::attempt_end::answered && on_completed_)
         on_completed_(item.call);
+    metrics_.note_gate_call(outcome.reason, item.started - item.arrived,
+                            now - item.started);
+    metrics_.note_gate_load(queue_.running(), queue_.queued(),
+                            queue_.load(now).limit);
     bool const failed = outcome.end != mesh::attempt_end::answered &&
                         outcome.end != mesh::attempt_end::failed;
     queue_.on_finished(now - item.started, failed, now);
--- a/src/pollenhall_sidecar/gate.hpp
+++ b/src/pollenhall_sidecar/gate.hpp
@@ -6,6 +6,7 @@
 
 #include "call.hpp"
 #include "client_pool.hpp"
+#include "node_metrics.hpp"
 
 #include <pollenhall/mesh/gate_queue.hpp>
 #include <pollenhall/mesh/registration.hpp>
@@ -34,7 +35,7 @@
 {
 public:
     gate(asio::io_context& context, deadline_timers& timers,
-         gate_options options);
+         gate_options options, node_metrics& metrics);
 
     /// The upstream as the control thread knows it.
     void set_upstream(std::optional<mesh::registered_upstream> upstream);
@@ -71,6 +72,7 @@
         mesh_call call;
         attempt_handler on_end;
         std::shared_ptr<client_connection> exchange{};
+        mono_time arrived{};
         mono_time started{};
         bool running = false;
     };
@@ -90,6 +92,7 @@
     void schedule_sweep();
     void sweep();
 
+    node_metrics& metrics_;
     deadline_timers& timers_;
     gate_options options_;
     std::shared_ptr<client_pool> pool_;
--- /dev/null
+++ b/src/pollenhall_sidecar/node_metrics.cpp
@@ -0,0 +1,145 @@
+// Metrics of a node, with prometheus-cpp.
+
+#include "node_metrics.hpp"
+
+#include <pollenhall/io/log_lines.hpp>
+
+#include <prometheus/text_serializer.h>
+
+namespace pollenhall::sidecar
+{
+namespace
+{
+
+prometheus::Histogram::BucketBoundaries const second_buckets{
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10};
+
+prometheus::Family<prometheus::Counter>&
+counter_family(prometheus::Registry& registry, char const* name,
+               char const* help)
+{
+    return prometheus::BuildCounter().Name(name).Help(help).Register(registry);
+}
+
+prometheus::Family<prometheus::Histogram>&
+histogram_family(prometheus::Registry& registry, char const* name,
+                 char const* help)
+{
+    return prometheus::BuildHistogram().Name(name).Help(help).Register(
+        registry);
+}
+
+prometheus::Gauge& gauge(prometheus::Registry& registry, char const* name,
+                         char const* help)
+{
+    return prometheus::BuildGauge()
+        .Name(name)
+        .Help(help)
+        .Register(registry)
+        .Add({});
+}
+
+double in_seconds(microseconds time)
+{
+    return std::chrono::duration<double>(time).count();
+}
+
+} // namespace
+
+node_metrics::node_metrics()
+    : calls_(counter_family(registry_, "pollenhall_calls_total",
+                            "Requests of this host that ended")),
+      call_seconds_(histogram_family(registry_, "pollenhall_call_seconds",
+                                     "Time from a request to its answer")),
+      repeats_(counter_family(registry_, "pollenhall_repeats_total",
+                              "Further attempts, by what went before")),
+      gate_calls_(counter_family(registry_, "pollenhall_gate_calls_total",
+                                 "Calls at the upstream of this host")),
+      gate_wait_(histogram_family(registry_, "pollenhall_gate_wait_seconds",
+                                  "Time that calls waited for a slot")
+                     .Add({}, second_buckets)),
+      gate_run_(histogram_family(registry_, "pollenhall_gate_run_seconds",
+                                 "Time that calls ran at the upstream")
+                    .Add({}, second_buckets)),
+      running_(gauge(registry_, "pollenhall_gate_running",
+                     "Calls that run at the upstream")),
+      queued_(gauge(registry_, "pollenhall_gate_queued",
+                    "Calls that wait for a slot")),
+      limit_(gauge(registry_, "pollenhall_gate_limit",
+                   "Calls that may run at once")),
+      version_(gauge(registry_, "pollenhall_configuration_version",
+                     "Version of the configuration in force")),
+      store_(gauge(registry_, "pollenhall_store_reachable",
+                   "Whether the last call to the store was answered")),
+      dropped_lines_(gauge(registry_, "pollenhall_log_lines_dropped",
+                           "Log lines that found no room"))
+{
+}
+
+prometheus::Counter&
+node_metrics::counter(std::map<name_pair, prometheus::Counter*>& known,
+                      prometheus::Family<prometheus::Counter>& family,
+                      name_pair const& key, char const* second_label)
+{
+    auto& found = known[key];
+    if (found == nullptr)
+        found =
+            &family.Add({{"service", key.first}, {second_label, key.second}});
+    return *found;
+}
+
+void node_metrics::note_call(service_name const& service,
+                             std::string_view outcome, microseconds took)
+{
+    counter(known_calls_, calls_, {service.value(), std::string(outcome)},
+            "outcome")
+        .Increment();
+    auto& histogram = known_seconds_[service];
+    if (histogram == nullptr)
+        histogram =
+            &call_seconds_.Add({{"service", service.value()}}, second_buckets);
+    histogram->Observe(in_seconds(took));
+}
+
+void node_metrics::note_repeat(service_name const& service,
+                               std::string_view reason)
+{
+    counter(known_repeats_, repeats_, {service.value(), std::string(reason)},
+            "reason")
+        .Increment();
+}
+
+void node_metrics::note_gate_call(std::string_view outcome, microseconds waited,
+                                  microseconds ran)
+{
+    counter(known_gate_calls_, gate_calls_, {"own", std::string(outcome)},
+            "outcome")
+        .Increment();
+    gate_wait_.Observe(in_seconds(waited));
+    gate_run_.Observe(in_seconds(ran));
+}
+
+void node_metrics::note_gate_load(int running, int queued, int limit)
+{
+    running_.Set(running);
+    queued_.Set(queued);
+    limit_.Set(limit);
+}
+
+void node_metrics::set_configuration(std::int64_t version)
+{
+    version_.Set(static_cast<double>(version));
+}
+
+void node_metrics::set_store(bool reachable)
+{
+    store_.Set(reachable ? 1 : 0);
+}
+
+std::string node_metrics::page() const
+{
+    dropped_lines_.Set(static_cast<double>(dropped_log_lines()));
+    return prometheus::TextSerializer().Serialize(registry_.Collect());
+}
+
+} // namespace pollenhall::sidecar
--- a/src/pollenhall_sidecar/origin_call.cpp
+++ b/src/pollenhall_sidecar/origin_call.cpp
@@ -231,7 +231,7 @@
         if (step == mesh::next_step::repeat)
         {
             call_.terms.is_repeat = true;
-            ++node_.counters_.repeats;
+            node_.metrics_.note_repeat(call_.terms.service, result.reason);
         }
         log_event("call_placed_again")
             .add("id", call_.id.value())
@@ -286,7 +286,7 @@
     note_reached(*at_, mesh::attempt_end::unknown);
     cancel_attempt();
     call_.terms.is_repeat = true;
-    ++node_.counters_.repeats;
+    node_.metrics_.note_repeat(call_.terms.service, "answer_overdue");
     attempt();
 }
 
@@ -328,7 +328,8 @@
     if (done_)
         return;
     auto const keep = shared_from_this();
-    ++node_.counters_.abandoned;
+    node_.metrics_.note_call(call_.terms.service, "abandoned",
+                             mono_now() - arrived_);
     cancel_attempt();
     done_ = true;
     node_.timers_.cancel(timeout_);
@@ -351,9 +352,21 @@
 void origin_call::answer(mesh::next_step step, attempt_result const& result)
 {
     auto const& id = call_.id.value();
+    node_.metrics_.note_call(call_.terms.service, result.reason,
+                             mono_now() - arrived_);
     if (step == mesh::next_step::deliver)
     {
-        ++node_.counters_.answered;
+        log_event("call_answered")
+            .add("id", id)
+            .add("service", call_.terms.service.value())
+            .add("incarnation", call_.terms.expected.value())
+            .add("status", result.response.status)
+            .add("attempts", attempts_)
+            .add("rank", call_.terms.rank)
+            .add("after_ms",
+                 std::chrono::duration_cast<milliseconds>(mono_now() - arrived_)
+                     .count())
+            .add("version", call_.terms.version.value());
         auto response = result.response;
         response.fields.remove_hop_by_hop();
         return finish(mesh::write_response(
@@ -375,16 +388,13 @@
     switch (step)
     {
     case mesh::next_step::refuse:
-        ++node_.counters_.refused;
         return finish(node_.own_answer(
             503, result.reason, id,
             spread_retry_after(result.retry_after, node_.random_())));
     case mesh::next_step::time_out:
-        ++node_.counters_.timed_out;
         return finish(
             node_.own_answer(504, result.reason, id, milliseconds{0}));
     default:
-        ++node_.counters_.unknown;
         return finish(
             node_.own_answer(502, result.reason, id, milliseconds{0}));
     }
--- a/src/pollenhall_sidecar/sidecar_test.cpp
+++ b/src/pollenhall_sidecar/sidecar_test.cpp
@@ -140,8 +140,9 @@
     node_options first_options = options("127.0.0.1", first_upstream);
     // Another address of the loopback range stands for another host.
     node_options second_options = options("127.0.0.2", second_upstream);
-    traffic_node first{context, first_options};
-    traffic_node second{context, second_options};
+    node_metrics metrics;
+    traffic_node first{context, first_options, metrics};
+    traffic_node second{context, second_options, metrics};
     std::shared_ptr<client_pool> caller = std::make_shared<client_pool>(
         context, timers, first_options.outbound, client_pool_options{});
     int last_id = 0;
@@ -268,6 +269,11 @@
         CHECK(result.response.status == 200);
         CHECK(result.response.body == "u2 crate");
         CHECK(result.response.fields.find(result_field) == nullptr);
+        auto const page = nodes.metrics.page();
+        CHECK(page.find("pollenhall_calls_total{outcome=\"answered\",service="
+                        "\"shop\"} 2") != std::string::npos);
+        CHECK(page.find("pollenhall_call_seconds_count{service=\"shop\"} 2") !=
+              std::string::npos);
     }
     SUBCASE("reaches the upstream unchanged but for what the system sets")
     {
--- a/src/pollenhall_sidecar/traffic_node.cpp
+++ b/src/pollenhall_sidecar/traffic_node.cpp
@@ -64,12 +64,14 @@
 
 } // namespace
 
-traffic_node::traffic_node(asio::io_context& context, node_options options)
-    : context_(context), options_(std::move(options)), timers_(context),
-      gate_(context, timers_,
-            {.service = options_.service,
-             .upstream_address = options_.upstream,
-             .headers = options_.headers}),
+traffic_node::traffic_node(asio::io_context& context, node_options options,
+                           node_metrics& metrics)
+    : metrics_(metrics), context_(context), options_(std::move(options)),
+      timers_(context), gate_(context, timers_,
+                              {.service = options_.service,
+                               .upstream_address = options_.upstream,
+                               .headers = options_.headers},
+                              metrics),
       placement_({.own_zone = options_.zone, .own_host = options_.host}),
       allowance_(options_.retries),
       callers_(
@@ -257,7 +259,7 @@
         .add("reason", reason)
         .add("version",
              routes_ ? routes_->config().version.value() : std::int64_t{0});
-    ++counters_.refused;
+    metrics_.note_call(options_.service, reason, microseconds{0});
     to->respond(own_answer(status, reason, id, retry_after), stopping_);
 }
 
@@ -313,7 +315,6 @@
 void traffic_node::on_gate_request(
     std::shared_ptr<server_connection> const& from, mesh::http_request request)
 {
-    ++counters_.gate_calls;
     last_request_ = mono_now();
     auto const& names = options_.headers;
     if (request.method == "GET" && request.target == state_path)
--- a/src/pollenhall_sidecar/traffic_node.hpp
+++ b/src/pollenhall_sidecar/traffic_node.hpp
@@ -6,11 +6,11 @@
 #include "client_pool.hpp"
 #include "gate.hpp"
 #include "listener.hpp"
+#include "node_metrics.hpp"
 #include "node_options.hpp"
 
 #include <pollenhall/mesh/answer_record.hpp>
 
-#include <atomic>
 #include <random>
 
 namespace pollenhall::sidecar
@@ -21,24 +21,13 @@
 /// Path at the gate's address under which peers ask for the shared state.
 extern std::string const state_path;
 
-/// Counters that other threads read.
-struct traffic_counters
-{
-    std::atomic<std::uint64_t> answered{0};
-    std::atomic<std::uint64_t> refused{0};
-    std::atomic<std::uint64_t> unknown{0};
-    std::atomic<std::uint64_t> timed_out{0};
-    std::atomic<std::uint64_t> repeats{0};
-    std::atomic<std::uint64_t> abandoned{0};
-    std::atomic<std::uint64_t> gate_calls{0};
-};
-
-/// Serves calls. All members but the constructor, `post` targets and
-/// `counters` are used on the traffic thread.
+/// Serves calls. All members but the constructor are used on the traffic
+/// thread.
 class traffic_node
 {
 public:
-    traffic_node(asio::io_context& context, node_options options);
+    traffic_node(asio::io_context& context, node_options options,
+                 node_metrics& metrics);
 
     absl::Status open();
 
@@ -66,8 +55,6 @@
     /// nothing is left or `grace` is over.
     void stop(milliseconds grace, std::function<void()> on_stopped);
 
-    [[nodiscard]] traffic_counters const& counters() const { return counters_; }
-
 private:
     friend class origin_call;
 
@@ -98,6 +85,7 @@
     // Share of the time to stop that is over; only while stopping.
     [[nodiscard]] double stop_share_used() const;
 
+    node_metrics& metrics_;
     asio::io_context& context_;
     node_options options_;
     deadline_timers timers_;
@@ -117,7 +105,6 @@
     bool has_suspicions_ = false;
     std::uint64_t crashes_ = 0;
     std::function<void(std::vector<crash_suspicion>)> on_suspicions_;
-    traffic_counters counters_;
     std::mt19937_64 random_;
     std::function<void(mesh::config_version, mesh::host_address)>
         on_newer_version_;
