--- a/src/pollenhall_sidecar/origin_call.cpp
+++ b/src/pollenhall_sidecar/origin_call.cpp
@@ -119,7 +119,7 @@
 {
     auto const number = node_.gate_.submit(
         call_,
-        [weak = weak_from_this()](attempt_result result)
+        [weak = weak_from_this()](attempt_result const& result)
         {
             auto const self = weak.lock();
             if (!self || self->done_)
--- a/src/pollenhall_sidecar/sidecar_test.cpp
+++ b/src/pollenhall_sidecar/sidecar_test.cpp
@@ -224,7 +224,7 @@
     exchange_result call(mesh::http_request const& request)
     {
         std::optional<exchange_result> result;
-        start(request, [&](exchange_result ended) { result = ended; });
+        start(request, [&](exchange_result const& ended) { result = ended; });
         run_until([&] { return result.has_value(); });
         REQUIRE(result.has_value());
         return *result;
--- a/testsuite/test_documents.py
+++ b/testsuite/test_documents.py
@@ -28,7 +28,7 @@
         self.assertEqual(documented, found)
 
     def test_log_events(self):
-        text = read("docs/operations.md")
+        text = read("docs/OPERATIONS.md")
         documented = set(re.findall(r"`([a-z_]+)`",
                                     text[:text.index("| failure")]))
         documented.discard("suppressed")
@@ -40,6 +40,20 @@
                                             path.read_text()))
         self.assertEqual(documented, found)
 
+    def test_sidecar_log_events(self):
+        text = read("docs/OPERATIONS.md")
+        text = text[text.index("## Events of the sidecar"):
+                    text.index("## From an id to the cause")]
+        documented = set(re.findall(r"`([a-z_]+)`", text))
+        found = set()
+        for folder in (ROOT / "src" / "pollenhall_sidecar",
+                       ROOT / "platform"):
+            for path in folder.glob("*.cpp"):
+                if not path.name.endswith("_test.cpp"):
+                    found |= set(re.findall(r'log_event\(\s*"([a-z_]+)"',
+                                            path.read_text()))
+        self.assertEqual(documented, found)
+
     def test_reasons(self):
         code = read("src/libpollenhall/dispatch_queue.cpp")
         names = code[code.index("refusal_names{"):]
