A call without another upstream is only refused if it has not run

Cause: read over: an attempt that found no upstream answered 503 also after an earlier attempt whose answer was overdue and given up, though that one may have run (idempotent calls only, when the only other upstream is paused at that moment).

--- a/src/include/pollenhall/mesh/configuration.hpp
+++ b/src/include/pollenhall/mesh/configuration.hpp
@@ -82,6 +82,9 @@
 {
 public:
     explicit route_table(configuration config);
+    // by_host_ points into config_.
+    route_table(route_table const&) = delete;
+    route_table& operator=(route_table const&) = delete;
 
     /// The route of `host` (a port is ignored) with the longest prefix that
     /// begins `path`; null if there is none.
--- a/src/pollenhall_sidecar/origin_call.cpp
+++ b/src/pollenhall_sidecar/origin_call.cpp
@@ -99,9 +99,12 @@
 {
     auto const* host = choose();
     if (host == nullptr)
-        return answer(
-            mesh::next_step::refuse,
-            {.end = mesh::attempt_end::not_offered, .reason = "no_upstream"});
+    {
+        // "Not run" only if no earlier attempt may have run.
+        constexpr auto end = mesh::attempt_end::not_offered;
+        auto const step = policy_.on_end(end, false, [] { return false; });
+        return answer(step, {.end = end, .reason = "no_upstream"});
+    }
     ++attempts_;
     call_.terms.expected = host->incarnation;
     tried_.push_back(host->host);
