--- a/src/include/pollenhall/call_plan.hpp
+++ b/src/include/pollenhall/call_plan.hpp
@@ -85,6 +85,11 @@
     backoff_options backoff{};
 };
 
+/// Tries of one call that may end unknown. A request that crashes upstreams is
+/// refused after two crashes, but a third try can be faster than the news of
+/// them.
+inline constexpr int most_unknown_tries = 2;
+
 /// The tries of one call. Not thread-safe.
 class call_plan
 {
@@ -116,6 +121,8 @@
     retry_budget budget_;
     retry_count lent_{0};
     int tries_ = 0;
+    // Tries whose outcome is not known.
+    int unknown_tries_ = 0;
     bool may_have_run_ = false;
 };
 
--- a/src/libpollenhall/call_plan.cpp
+++ b/src/libpollenhall/call_plan.cpp
@@ -91,7 +91,7 @@
     case outcome::not_run:
         return options_.may_move && result.reason && is_movable(*result.reason);
     case outcome::unknown:
-        return options_.repeatable;
+        return options_.repeatable && unknown_tries_ < most_unknown_tries;
     }
     return false;
 }
@@ -108,6 +108,8 @@
     budget_.give_back(result.returned, lent_);
     if (result.what != outcome::not_run)
         may_have_run_ = true;
+    if (result.what == outcome::unknown)
+        ++unknown_tries_;
     // What a home that is gone was asked before, it did not run either.
     if (result.reason == refusal::home_gone)
         may_have_run_ = false;
--- a/src/libpollenhall/call_plan_test.cpp
+++ b/src/libpollenhall/call_plan_test.cpp
@@ -36,6 +36,24 @@
 
 } // namespace
 
+TEST_CASE("a repeatable call that crashes what runs it")
+{
+    auto plan = make_plan(true, true, 5);
+    plan.start();
+    CHECK(tries_again(plan, make_result(outcome::unknown)));
+    plan.resume();
+
+    SUBCASE("is not tried a third time")
+    {
+        CHECK_FALSE(tries_again(plan, make_result(outcome::unknown)));
+    }
+    SUBCASE("may still be moved after a refusal")
+    {
+        CHECK(tries_again(plan,
+                          make_result(outcome::not_run, refusal::draining)));
+    }
+}
+
 TEST_CASE("a call that is not repeatable")
 {
     auto plan = make_plan(false);
