Read over: members that nothing calls are removed

Cause: the admission that was tried and dropped left placement's headroom behind; a count of connections and two accessors of the control state were never used.

Change: the four are removed; no behaviour changes.

Conclusion: what else is alike (connection timeouts in client and server, two families of metrics) is alike in shape only.

--- a/src/include/pollenhall/mesh/placement.hpp
+++ b/src/include/pollenhall/mesh/placement.hpp
@@ -113,10 +113,6 @@
     void on_not_ready(host_address const& host, milliseconds pause,
                       mono_time now);
 
-    /// Room at the upstreams of `service` in calls, over all that can be
-    /// used; negative if more wait than may run. Empty if nothing is known.
-    [[nodiscard]] std::optional<double> headroom(service_name const& service,
-                                                 mono_time now) const;
     [[nodiscard]] std::size_t known(service_name const& service) const;
 
 private:
--- a/src/libpollenhall_mesh/placement.cpp
+++ b/src/libpollenhall_mesh/placement.cpp
@@ -185,22 +185,6 @@
         view->paused_until = now + pause;
 }
 
-std::optional<double> placement::headroom(service_name const& service,
-                                          mono_time now) const
-{
-    auto const found = by_service_.find(service);
-    if (found == by_service_.end())
-        return std::nullopt;
-    double room = 0;
-    for (auto const& host : found->second)
-    {
-        auto const& view = views_.at(host);
-        if (usable(view, now))
-            room += (1 - utilisation(view, now)) * view.load.limit;
-    }
-    return room;
-}
-
 std::size_t placement::known(service_name const& service) const
 {
     auto const found = by_service_.find(service);
--- a/src/pollenhall_sidecar/control_node.hpp
+++ b/src/pollenhall_sidecar/control_node.hpp
@@ -46,7 +46,6 @@
     void stop();
 
     [[nodiscard]] bool ready() const { return routes_ && !stopping_; }
-    [[nodiscard]] bool stopping() const { return stopping_; }
 
     mesh::heartbeat_result
     on_heartbeat(mesh::upstream_heartbeat const& heartbeat);
@@ -62,7 +61,6 @@
         return routes_ ? routes_->config().version : mesh::config_version();
     }
     [[nodiscard]] std::string metrics_page() const { return metrics_.page(); }
-    [[nodiscard]] bool store_reachable() const { return store_reachable_; }
 
 private:
     void read_store();
--- a/src/pollenhall_sidecar/listener.cpp
+++ b/src/pollenhall_sidecar/listener.cpp
@@ -91,10 +91,4 @@
             connection->close_when_idle();
 }
 
-std::size_t listener::connections()
-{
-    std::erase_if(open_, [](auto const& item) { return item.expired(); });
-    return open_.size();
-}
-
 } // namespace pollenhall::sidecar
--- a/src/pollenhall_sidecar/listener.hpp
+++ b/src/pollenhall_sidecar/listener.hpp
@@ -26,8 +26,6 @@
     void stop_accepting();
     /// Ends each connection as soon as it is idle.
     void close_idle();
-    /// Number of open connections.
-    [[nodiscard]] std::size_t connections();
 
 private:
     void accept();
