Few nodes watch the store; the others ask those for changes

Peers ask the control thread at a port of the range for traffic between nodes; the traffic thread no longer keeps a copy of the state.

--- /dev/null
+++ b/src/pollenhall_sidecar/change_feed.cpp
@@ -0,0 +1,174 @@
+// Answers peers that ask for changes of the store.
+
+#include "change_feed.hpp"
+
+#include <pollenhall/io/clocks.hpp>
+#include <pollenhall/io/log_event.hpp>
+
+#include <nlohmann/json.hpp>
+
+#include <charconv>
+
+namespace pollenhall::sidecar
+{
+namespace
+{
+
+using nlohmann::json;
+
+constexpr std::string_view changes_path = "/mesh/changes";
+// Peers keep idle connections shorter than this.
+constexpr milliseconds idle_time{30'000};
+// Requests for changes are one line.
+constexpr std::size_t max_request_bytes = 4'096;
+// Longest wait that a peer may ask for.
+constexpr std::int64_t most_wait_ms = 5'000;
+
+std::optional<std::int64_t> number_after(std::string_view target,
+                                         std::string_view name)
+{
+    auto const at = target.find(name);
+    if (at == std::string_view::npos)
+        return std::nullopt;
+    auto const text = target.substr(at + name.size());
+    std::int64_t value = 0;
+    auto const [end, error] =
+        std::from_chars(text.data(), text.data() + text.size(), value);
+    if (error != std::errc{} || value < 0)
+        return std::nullopt;
+    return value;
+}
+
+} // namespace
+
+std::string changes_target(store_revision after, milliseconds wait)
+{
+    return std::string(changes_path) +
+           "?after=" + std::to_string(after.value()) +
+           "&wait_ms=" + std::to_string(wait.count());
+}
+
+std::string write_changes(change_report const& report)
+{
+    auto items = json::array();
+    for (auto const& item : report.changes.items)
+        items.push_back({item.key, item.revision.value(),
+                         item.value ? json(*item.value) : json(nullptr)});
+    return json{{"at", report.changes.at.value()},
+                {"complete", report.changes.complete},
+                {"current", report.current},
+                {"items", items}}
+        // Another writer's value may not be text; it is not readable anyway.
+        .dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+absl::StatusOr<change_report> parse_changes(std::string const& text)
+{
+    try
+    {
+        auto const in = json::parse(text);
+        change_report report{
+            .changes = {.at = store_revision(in.at("at").get<std::int64_t>()),
+                        .complete = in.at("complete").get<bool>()},
+            .current = in.at("current").get<bool>()};
+        for (auto const& row : in.at("items"))
+        {
+            store_item item{.key = row.at(0).get<std::string>(),
+                            .revision =
+                                store_revision(row.at(1).get<std::int64_t>())};
+            if (!row.at(2).is_null())
+                item.value = row.at(2).get<std::string>();
+            report.changes.items.push_back(std::move(item));
+        }
+        return report;
+    }
+    catch (json::exception const& error)
+    {
+        return absl::InvalidArgumentError(error.what());
+    }
+}
+
+change_feed::change_feed(deadline_timers& timers,
+                         mesh::store_mirror const& mirror)
+    : timers_(timers), mirror_(mirror)
+{
+}
+
+server_handlers change_feed::handlers()
+{
+    return {.on_request =
+                [this](auto const& from, mesh::http_request const& request)
+            { serve(from, request); },
+            .on_fault =
+                [](request_fault)
+            {
+                log_event("peer_request_not_readable", log_level::warning);
+                return mesh::write_response({.status = 400}, "GET");
+            },
+            .limits =
+                []
+            {
+                return server_limits{
+                    .reader = {.body_bytes = max_request_bytes},
+                    .idle_timeout = idle_time};
+            }};
+}
+
+void change_feed::serve(std::shared_ptr<server_connection> const& from,
+                        mesh::http_request const& request)
+{
+    auto const after = number_after(request.target, "after=");
+    auto const wait = number_after(request.target, "wait_ms=");
+    if (!request.target.starts_with(changes_path) || !after || !wait)
+    {
+        log_event("peer_request_not_readable", log_level::warning)
+            .add("from", from->remote_host());
+        return from->respond(mesh::write_response({.status = 404}, "GET"),
+                             false);
+    }
+    if (!current_ || *wait == 0 || mirror_.at() > store_revision(*after))
+        return answer(from, store_revision(*after));
+    auto const number = ++last_number_;
+    waiting_.emplace(
+        number, waiting_peer{.connection = from,
+                             .after = store_revision(*after),
+                             .timeout = timers_.after(
+                                 milliseconds(std::min(*wait, most_wait_ms)),
+                                 [this, number] { on_timeout(number); })});
+}
+
+void change_feed::answer(std::shared_ptr<server_connection> const& to,
+                         store_revision after) const
+{
+    auto const text = write_changes(
+        {.changes = mirror_.changes_after(after), .current = current_});
+    to->respond(mesh::write_response({.status = 200, .body = text}, "GET"),
+                false);
+}
+
+void change_feed::set_current(bool current)
+{
+    current_ = current;
+    if (!current_)
+        on_change();
+}
+
+void change_feed::on_change()
+{
+    auto peers = std::move(waiting_);
+    waiting_.clear();
+    for (auto& [number, peer] : peers)
+    {
+        timers_.cancel(peer.timeout);
+        answer(peer.connection, peer.after);
+    }
+}
+
+void change_feed::on_timeout(std::uint64_t number)
+{
+    auto const peer = waiting_.extract(number);
+    if (!peer.empty())
+        answer(peer.mapped().connection, peer.mapped().after);
+}
+
+} // namespace pollenhall::sidecar
--- a/src/pollenhall_sidecar/control_node.cpp
+++ b/src/pollenhall_sidecar/control_node.cpp
@@ -2,8 +2,6 @@
 
 #include "control_node.hpp"
 
-#include "traffic_node.hpp"
-
 #include <pollenhall/io/clocks.hpp>
 #include <pollenhall/io/log_event.hpp>
 
@@ -22,9 +20,18 @@
 constexpr milliseconds most_store_pause{800};
 // Time that the watch has to bring a version that a peer already knows.
 constexpr milliseconds version_patience{250};
-// How often a peer is asked for the state while the store is away.
+// The same before the next try to hear of changes, for a node that usually
+// asks peers: all of them come at once when the store is away.
+constexpr milliseconds most_follower_pause{3'000};
+// How often some peer is asked for changes while none come in.
 constexpr milliseconds peer_interval{1'000};
-constexpr milliseconds peer_patience{800};
+// Time that a peer has to answer beyond the wait that it was asked for. Nodes
+// answer within ms; one that doesn't is cut off or stands still.
+constexpr milliseconds peer_patience{300};
+// Pause before peers are asked again after one has failed.
+constexpr milliseconds follow_pause{50};
+// How soon peers are looked at again while the store is not to be called yet.
+constexpr milliseconds follow_check{200};
 // Time that the upstream has to send a heartbeat before its health is asked.
 constexpr milliseconds heartbeat_patience{200};
 constexpr milliseconds health_patience{1'000};
@@ -44,7 +51,8 @@
     : options_(std::move(options)), layout_(std::move(layout)), store_(store),
       decode_(std::move(decode)), feed_(std::move(feed)), metrics_(metrics),
       context_(context), timers_(context), random_(std::random_device{}()),
-      boot_(wall_now().time_since_epoch().count()),
+      boot_(wall_now().time_since_epoch().count()), feed_out_(timers_, mirror_),
+      relays_({.own_zone = options_.zone, .own_host = options_.host}),
       registration_(options_.service,
                     options_.upstream.address().to_string() + ":" +
                         std::to_string(options_.upstream.port()))
@@ -54,6 +62,7 @@
 void control_node::start()
 {
     read_store();
+    timers_.after(peer_interval, [this] { ask_some_peer(); });
 }
 
 void control_node::stop()
@@ -61,6 +70,7 @@
     if (stopping_)
         return;
     stopping_ = true;
+    feed_out_.set_current(false);
     publish_entry();
 }
 
@@ -72,88 +82,156 @@
                     if (!items.ok())
                     {
                         on_store_error("read", items.status());
-                        timers_.after(retry_pause_, [this] { read_store(); });
-                        return;
+                        return follow_after_error();
                     }
                     on_store_answer();
+                    must_read_all_ = false;
                     must_read_ = false;
-                    apply_items(*items, true);
-                    seen_ = items->at;
+                    apply_news(*items, "store");
+                    set_hearing(true);
                     publish_entry();
-                    watch_store();
+                    follow();
                 });
 }
 
+void control_node::follow_after_error()
+{
+    // What was missed is only known by reading.
+    must_read_all_ = true;
+    next_store_try_ =
+        mono_now() +
+        (relays_.is_first_choice()
+             ? retry_pause_
+             : std::max(retry_pause_, spread(most_follower_pause)));
+    follow();
+}
+
+void control_node::follow_later(milliseconds pause)
+{
+    timers_.after(pause, [this] { follow(); });
+}
+
+void control_node::follow()
+{
+    auto const now = mono_now();
+    if (auto const peer = relays_.choose(now))
+        return follow_peer(*peer);
+    if (now >= next_store_try_)
+        return must_read_all_ ? read_store() : watch_store();
+    // Meanwhile a peer may be back.
+    follow_later(std::min(
+        follow_check,
+        std::chrono::duration_cast<milliseconds>(next_store_try_ - now) +
+            milliseconds{1}));
+}
+
 void control_node::watch_store()
 {
     milliseconds const spread{static_cast<std::int64_t>(
         random_() %
         static_cast<std::uint64_t>(
             (options_.watch.most_time - options_.watch.least_time).count()))};
-    store_.watch(
-        layout_.common_prefix, seen_, options_.watch.least_time + spread,
-        [this](absl::StatusOr<store_items> changes)
-        {
-            if (!changes.ok())
-            {
-                on_store_error("watch", changes.status());
-                // What happened meanwhile is only known by reading.
-                timers_.after(retry_pause_, [this] { read_store(); });
-                return;
-            }
-            on_store_answer();
-            apply_items(*changes, false);
-            seen_ = std::max(seen_, changes->at);
-            publish_entry();
-            if (changes->items.empty())
-                return watch_store();
-            timers_.after(options_.watch.pause, [this] { watch_store(); });
-        });
+    store_.watch(layout_.common_prefix, mirror_.at(),
+                 options_.watch.least_time + spread,
+                 [this](absl::StatusOr<store_items> changes)
+                 {
+                     if (!changes.ok())
+                     {
+                         on_store_error("watch", changes.status());
+                         return follow_after_error();
+                     }
+                     on_store_answer();
+                     set_hearing(true);
+                     apply_news(*changes, "store");
+                     publish_entry();
+                     if (changes->items.empty())
+                         return follow();
+                     follow_later(options_.watch.pause);
+                 });
+}
+
+void control_node::follow_peer(mesh::host_address const& peer)
+{
+    request_changes(peer, options_.watch.peer_time,
+                    [this, peer](exchange_result const& result)
+                    { on_followed_peer(peer, result); });
+}
+
+void control_node::on_followed_peer(mesh::host_address const& peer,
+                                    exchange_result const& result)
+{
+    if (!take_changes(peer, result))
+    {
+        relays_.on_failure(peer, mono_now());
+        return follow_later(follow_pause);
+    }
+    relays_.on_answer(peer);
+    set_hearing(true);
+    publish_entry();
+    follow();
+}
+
+void control_node::set_hearing(bool hearing)
+{
+    if (hearing_ == hearing)
+        return;
+    hearing_ = hearing;
+    log_event(hearing ? "store_news_regained" : "store_news_lost",
+              hearing ? log_level::info : log_level::warning)
+        .add("revision", mirror_.at().value());
+    feed_out_.set_current(hearing && !stopping_);
+    if (!hearing)
+        timers_.after(peer_interval, [this] { ask_some_peer(); });
 }
 
 void control_node::on_store_error(std::string_view call,
                                   absl::Status const& status)
 {
+    // The history is gone, but the store answers.
+    if (status.code() == absl::StatusCode::kOutOfRange)
+    {
+        log_event("store_history_gone", log_level::warning)
+            .add("revision", mirror_.at().value());
+        retry_pause_ = milliseconds{0};
+        return;
+    }
     if (store_reachable_ || retry_pause_.count() == 0)
         log_event("store_lost", log_level::warning)
             .add("call", call)
             .add("error", std::string(status.message()))
-            .add("revision", seen_.value());
-    if (store_reachable_ && status.code() != absl::StatusCode::kOutOfRange)
-    {
-        store_reachable_ = false;
-        metrics_.set_store(false);
-        timers_.after(peer_interval, [this] { ask_some_peer(); });
-    }
-    auto const doubled =
-        std::clamp(retry_pause_ * 2, first_store_pause, most_store_pause);
-    // Spread over half of the pause, so that nodes don't come back at once.
-    retry_pause_ =
-        doubled -
-        milliseconds(static_cast<std::int64_t>(
-            random_() % static_cast<std::uint64_t>(doubled.count() / 2)));
+            .add("revision", mirror_.at().value());
+    store_reachable_ = false;
+    metrics_.set_store(false);
+    if (!relays_.choose(mono_now()))
+        set_hearing(false);
+    retry_pause_ = spread(
+        std::clamp(retry_pause_ * 2, first_store_pause, most_store_pause));
+}
+
+milliseconds control_node::spread(milliseconds pause)
+{
+    // Over half of the pause, so that nodes don't come back at once.
+    return pause -
+           milliseconds(static_cast<std::int64_t>(
+               random_() % static_cast<std::uint64_t>(pause.count() / 2)));
 }
 
 void control_node::on_store_answer()
 {
     if (!store_reachable_)
-        log_event("store_regained").add("revision", seen_.value());
+        log_event("store_regained").add("revision", mirror_.at().value());
     store_reachable_ = true;
     metrics_.set_store(true);
     retry_pause_ = milliseconds{0};
 }
 
-void control_node::apply_items(store_items const& items, bool complete)
+void control_node::apply_news(store_items const& news, std::string_view source)
 {
     auto const own_key = layout_.hosts_prefix + options_.host.value();
-    auto const before = hosts_;
-    if (complete)
-    {
-        hosts_.clear();
-        published_.reset();
-        published_revision_ = store_revision();
-    }
-    for (auto const& item : items.items)
+    auto const before = mirror_.at();
+    auto const changes = mirror_.apply(news);
+    bool hosts_changed = false;
+    for (auto const& item : changes)
     {
         if (item.key == own_key && item.revision >= published_revision_)
         {
@@ -161,12 +239,17 @@
             published_revision_ = item.value ? item.revision : store_revision();
         }
         if (item.key == layout_.configuration_key && item.value)
-            apply_configuration(*item.value, "store");
+            apply_configuration(*item.value, source);
         else if (item.key.starts_with(layout_.hosts_prefix))
-            apply_host(item.key, item);
+        {
+            apply_host(item);
+            hosts_changed = true;
+        }
     }
-    if (hosts_ != before)
+    if (hosts_changed)
         publish_hosts();
+    if (mirror_.at() > before)
+        feed_out_.on_change();
 }
 
 void control_node::apply_configuration(std::string const& text,
@@ -189,17 +272,15 @@
         .add("routes", static_cast<std::int64_t>(decoded->routes.size()));
     bool const is_first = !routes_;
     routes_ = std::make_shared<mesh::route_table const>(std::move(*decoded));
-    configuration_text_ = text;
     feed_.set_routes(routes_);
     metrics_.set_configuration(version().value());
-    share_state();
     if (is_first)
         timers_.after(heartbeat_patience, [this] { check_upstream_health(); });
 }
 
-void control_node::apply_host(std::string const& key, store_item const& item)
+void control_node::apply_host(store_item const& item)
 {
-    mesh::host_address const host(key.substr(layout_.hosts_prefix.size()));
+    mesh::host_address const host(item.key.substr(layout_.hosts_prefix.size()));
     if (!item.value)
     {
         hosts_.erase(host);
@@ -209,7 +290,7 @@
     if (!entry.ok() || entry->host != host)
     {
         log_event("host_entry_ignored", log_level::warning)
-            .add("key", key)
+            .add("key", item.key)
             .add("revision", item.revision.value())
             .add("error", entry.ok() ? "address differs from key"
                                      : std::string(entry.status().message()));
@@ -233,20 +314,9 @@
         .add("ready",
              std::count_if(all.begin(), all.end(),
                            [](auto const& item) { return item.ready; }))
-        .add("revision", seen_.value());
+        .add("revision", mirror_.at().value());
+    relays_.set_hosts(all);
     feed_.set_hosts(std::move(all));
-    share_state();
-}
-
-void control_node::share_state()
-{
-    if (!routes_)
-        return;
-    shared_state state{.configuration = configuration_text_};
-    for (auto const& [host, entry] : hosts_)
-        state.hosts.push_back(entry);
-    feed_.set_shared_state(
-        std::make_shared<std::string const>(write_state(state)));
 }
 
 mesh::host_entry control_node::own_entry() const
@@ -277,7 +347,8 @@
 
 void control_node::publish_entry()
 {
-    if (writing_ || must_read_ || !store_reachable_ || !registration_.current())
+    if (writing_ || must_read_ || !(store_reachable_ || hearing_) ||
+        !registration_.current())
         return;
     auto const entry = own_entry();
     auto const text = write_host(entry);
@@ -295,7 +366,7 @@
     writing_ = true;
     auto const key = layout_.hosts_prefix + options_.host.value();
     store_.write(key, text, published_revision_,
-                 [this, text](absl::StatusOr<store_revision> written)
+                 [this, key, text](absl::StatusOr<store_revision> written)
                  {
                      writing_ = false;
                      if (written.ok())
@@ -303,6 +374,10 @@
                          on_store_answer();
                          published_ = text;
                          published_revision_ = *written;
+                         mirror_.apply({.items = {{.key = key,
+                                                   .value = text,
+                                                   .revision = *written}},
+                                        .at = mirror_.at()});
                          log_event("host_entry_written")
                              .add("revision", written->value())
                              .add("ready", own_entry().ready);
@@ -443,81 +518,73 @@
                   {
                       asking_peer_ = false;
                       if (version > this->version())
-                          ask_peer(host, options_.gate.port());
+                          ask_peer(host);
                   });
 }
 
 void control_node::ask_some_peer()
 {
-    if (store_reachable_ || stopping_)
+    if (hearing_ || stopping_)
         return;
     timers_.after(peer_interval, [this] { ask_some_peer(); });
-    std::vector<mesh::host_entry const*> others;
+    std::vector<mesh::host_address> others;
     for (auto const& [host, entry] : hosts_)
         if (host != options_.host)
-            others.push_back(&entry);
-    if (others.empty())
-        return;
-    auto const* chosen = others[random_() % others.size()];
-    ask_peer(chosen->host, chosen->gate_port);
+            others.push_back(host);
+    if (!others.empty())
+        ask_peer(others[random_() % others.size()]);
 }
 
-void control_node::ask_peer(mesh::host_address const& host, int port)
+void control_node::ask_peer(mesh::host_address const& host)
 {
     if (asking_peer_)
         return;
     asking_peer_ = true;
+    request_changes(host, milliseconds{0},
+                    [this, host](exchange_result const& result)
+                    {
+                        asking_peer_ = false;
+                        take_changes(host, result);
+                    });
+}
+
+void control_node::request_changes(
+    mesh::host_address const& host, milliseconds wait,
+    std::function<void(exchange_result const&)> const& on_end)
+{
     auto& pool = peer_pools_[host];
     if (!pool)
         pool = std::make_shared<client_pool>(
             context_, timers_,
             asio::ip::tcp::endpoint(asio::ip::make_address(host.value()),
-                                    static_cast<std::uint16_t>(port)),
-            client_pool_options{});
-    mesh::http_request request{.method = "GET", .target = state_path};
+                                    options_.peer_control.port()),
+            client_pool_options{.connect_timeout = peer_patience});
+    mesh::http_request request{.method = "GET",
+                               .target = changes_target(mirror_.at(), wait)};
     request.fields.add("Host", host.value());
     pool->start({.bytes = mesh::write_request(request),
-                 .deadline = mono_now() + peer_patience,
-                 .on_end = [this, host](exchange_result const& result)
-                 { on_peer_state(host, result); }});
+                 .deadline = mono_now() + wait + peer_patience,
+                 .on_end = on_end});
 }
 
-void control_node::on_peer_state(mesh::host_address const& host,
-                                 exchange_result const& result)
+bool control_node::take_changes(mesh::host_address const& host,
+                                exchange_result const& result)
 {
-    asking_peer_ = false;
-    if (result.end != exchange_end::answered || result.response.status != 200)
+    auto const report =
+        result.end == exchange_end::answered && result.response.status == 200
+            ? parse_changes(result.response.body)
+            : absl::UnavailableError(std::string(to_string(result.end)) + " " +
+                                     result.detail);
+    if (!report.ok())
     {
-        log_event("peer_state_not_read", log_level::warning)
+        log_event("peer_changes_not_read", log_level::warning)
             .add("peer", host.value())
-            .add("end", to_string(result.end))
+            .add("error", std::string(report.status().message()))
             .add("status", result.response.status);
-        return;
+        return false;
     }
-    auto state = parse_state(result.response.body);
-    if (!state.ok())
-    {
-        log_event("peer_state_not_read", log_level::warning)
-            .add("peer", host.value())
-            .add("error", std::string(state.status().message()));
-        return;
-    }
-    apply_configuration(state->configuration, "peer");
-    if (store_reachable_)
-        return;
-    // Without the store, hosts are only added or renewed: a peer that was
-    // away itself may know fewer.
-    bool changed = false;
-    for (auto const& entry : state->hosts)
-    {
-        auto const known = hosts_.find(entry.host);
-        if (known != hosts_.end() && known->second.boot >= entry.boot)
-            continue;
-        hosts_.insert_or_assign(entry.host, entry);
-        changed = true;
-    }
-    if (changed)
-        publish_hosts();
+    apply_news(report->changes, "peer");
+    return report->current;
 }
 
 } // namespace pollenhall::sidecar
--- a/src/pollenhall_sidecar/control_node.hpp
+++ b/src/pollenhall_sidecar/control_node.hpp
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include "change_feed.hpp"
 #include "client_pool.hpp"
 #include "host_directory.hpp"
 #include "node_metrics.hpp"
@@ -11,6 +12,7 @@
 
 #include <pollenhall/mesh/configuration.hpp>
 #include <pollenhall/mesh/registration.hpp>
+#include <pollenhall/mesh/store_relays.hpp>
 
 #include <map>
 #include <random>
@@ -25,7 +27,6 @@
     std::function<void(std::shared_ptr<mesh::route_table const>)> set_routes;
     std::function<void(std::vector<mesh::host_entry>)> set_hosts;
     std::function<void(std::optional<mesh::registered_upstream>)> set_upstream;
-    std::function<void(std::shared_ptr<std::string const>)> set_shared_state;
 };
 
 /// Reads a configuration document.
@@ -60,27 +61,48 @@
     {
         return routes_ ? routes_->config().version : mesh::config_version();
     }
+    /// Handlers for the listener at which peers ask for changes.
+    [[nodiscard]] server_handlers peer_handlers()
+    {
+        return feed_out_.handlers();
+    }
     [[nodiscard]] std::string metrics_page() const { return metrics_.page(); }
 
 private:
     void read_store();
+    // Waits for the next changes, from a peer or from the store.
+    void follow();
+    void follow_later(milliseconds pause);
+    void follow_after_error();
+    // A random time from half of `pause` up to it.
+    [[nodiscard]] milliseconds spread(milliseconds pause);
     void watch_store();
+    void follow_peer(mesh::host_address const& peer);
+    void on_followed_peer(mesh::host_address const& peer,
+                          exchange_result const& result);
     void on_store_error(std::string_view call, absl::Status const& status);
     void on_store_answer();
-    void apply_items(store_items const& items, bool complete);
+    // Whether news of the store comes in, from a peer or from the store.
+    void set_hearing(bool hearing);
+    void apply_news(store_items const& news, std::string_view source);
     void apply_configuration(std::string const& text, std::string_view source);
-    void apply_host(std::string const& key, store_item const& item);
+    void apply_host(store_item const& item);
     void publish_hosts();
     void upstream_changed(std::string_view cause);
     [[nodiscard]] mesh::host_entry own_entry() const;
     void publish_entry();
     void read_own_entry();
     void check_upstream_health();
-    void ask_peer(mesh::host_address const& host, int port);
+    void ask_peer(mesh::host_address const& host);
     void ask_some_peer();
-    void on_peer_state(mesh::host_address const& host,
-                       exchange_result const& result);
-    void share_state();
+    // Asks a peer for what changed after what is known.
+    void
+    request_changes(mesh::host_address const& host, milliseconds wait,
+                    std::function<void(exchange_result const&)> const& on_end);
+    // Takes a peer's answer in; false if it is none, or if the peer itself
+    // hears nothing of the store.
+    bool take_changes(mesh::host_address const& host,
+                      exchange_result const& result);
 
     node_options options_;
     store_layout layout_;
@@ -93,8 +115,12 @@
     std::mt19937_64 random_;
     boot_id boot_;
 
+    // What is known of the store. Everything else that comes from there is
+    // derived from it.
+    mesh::store_mirror mirror_;
+    change_feed feed_out_;
+    mesh::store_relays relays_;
     std::shared_ptr<mesh::route_table const> routes_;
-    std::string configuration_text_;
     std::map<mesh::host_address, mesh::host_entry> hosts_;
     mesh::upstream_registration registration_;
 
@@ -107,10 +133,15 @@
     // A write got no answer, so the own key must be read before the next.
     bool must_read_ = false;
 
-    store_revision seen_;
+    // Whether the last own call to the store was answered.
     bool store_reachable_ = false;
+    bool hearing_ = false;
     bool asking_peer_ = false;
+    // Before the next call to a store that fails.
     milliseconds retry_pause_{0};
+    mono_time next_store_try_{};
+    // News may have been missed; a reading tells.
+    bool must_read_all_ = true;
     int health_checks_ = 0;
     std::shared_ptr<client_pool> upstream_pool_;
     std::map<mesh::host_address, std::shared_ptr<client_pool>> peer_pools_;
--- a/src/pollenhall_sidecar/host_directory.cpp
+++ b/src/pollenhall_sidecar/host_directory.cpp
@@ -84,35 +84,4 @@
     }
 }
 
-std::string write_state(shared_state const& state)
-{
-    json hosts = json::array();
-    for (auto const& entry : state.hosts)
-        hosts.push_back(to_json(entry));
-    return json{{"configuration", state.configuration}, {"hosts", hosts}}
-        .dump();
-}
-
-absl::StatusOr<shared_state> parse_state(std::string const& text)
-{
-    try
-    {
-        auto const document = json::parse(text);
-        shared_state state{.configuration =
-                               document.at("configuration").get<std::string>()};
-        for (auto const& item : document.at("hosts"))
-        {
-            auto entry = from_json(item);
-            if (auto status = check(entry); !status.ok())
-                return status;
-            state.hosts.push_back(std::move(entry));
-        }
-        return state;
-    }
-    catch (json::exception const& error)
-    {
-        return absl::InvalidArgumentError(error.what());
-    }
-}
-
 } // namespace pollenhall::sidecar
--- a/src/pollenhall_sidecar/node_options.hpp
+++ b/src/pollenhall_sidecar/node_options.hpp
@@ -14,15 +14,17 @@
 /// How a node watches the store.
 struct store_watch_options
 {
-    /// One watch waits between these times. Long, since each is paid for;
-    /// spread, so that when connections go silent some node of the fleet
-    /// notices soon and the others hear of a new configuration from its
-    /// answers.
-    milliseconds least_time{4'000};
-    milliseconds most_time{12'000};
+    /// One watch waits between these times. Only a few nodes of a zone watch;
+    /// spread, so that when connections go silent one of them notices soon.
+    milliseconds least_time{3'000};
+    milliseconds most_time{6'000};
     /// Pause between the events of one watch and the next watch. When many
     /// hosts start, their entries come in a few batches.
     milliseconds pause{300};
+    /// Longest that a peer which watches the store lets a node wait for
+    /// changes. Peers are asked in turn, so one that has fallen silent holds
+    /// a change up for this long; a configuration must be in force within 2 s.
+    milliseconds peer_time{700};
 
     bool operator==(store_watch_options const&) const = default;
 };
@@ -40,6 +42,8 @@
     asio::ip::tcp::endpoint outbound;
     /// Peers send calls for the upstream here.
     asio::ip::tcp::endpoint gate;
+    /// Peers ask here for changes of the store.
+    asio::ip::tcp::endpoint peer_control;
     /// The platform asks here whether callers may be sent.
     asio::ip::tcp::endpoint readiness;
     /// The upstream sends its heartbeats here.
--- a/src/pollenhall_sidecar/shared_store.hpp
+++ b/src/pollenhall_sidecar/shared_store.hpp
@@ -3,7 +3,7 @@
 
 #pragma once
 
-#include <pollenhall/ids.hpp>
+#include <pollenhall/mesh/store_mirror.hpp>
 
 #include <functional>
 #include <optional>
@@ -15,25 +15,9 @@
 namespace pollenhall::sidecar
 {
 
-/// Revision of the store; grows with each change. 0 stands for none.
-using store_revision = strong_value<struct store_revision_tag, std::int64_t>;
-
-/// A key and its value, or that it was removed.
-struct store_item
-{
-    std::string key;
-    // Empty if the key was removed.
-    std::optional<std::string> value;
-    // Of the last change of this key.
-    store_revision revision;
-};
-
-/// Items under a prefix, or changes of them, up to a revision.
-struct store_items
-{
-    std::vector<store_item> items;
-    store_revision at;
-};
+using mesh::store_item;
+using mesh::store_items;
+using mesh::store_revision;
 
 /// Where things lie in the store.
 struct store_layout
@@ -58,7 +42,7 @@
 
     virtual ~shared_store() = default;
 
-    /// Reads all items under a prefix.
+    /// Reads all items under a prefix; the result is complete.
     virtual void read(std::string const& prefix,
                       handler<store_items> on_end) = 0;
     /// Waits for changes after a revision, at most `wait`; none is no error.
--- a/src/pollenhall_sidecar/traffic_node.cpp
+++ b/src/pollenhall_sidecar/traffic_node.cpp
@@ -15,8 +15,6 @@
 namespace pollenhall::sidecar
 {
 
-std::string const state_path = "/mesh/state";
-
 namespace
 {
 
@@ -142,11 +140,6 @@
     routes_ = std::move(routes);
 }
 
-void traffic_node::set_shared_state(std::shared_ptr<std::string const> state)
-{
-    shared_state_ = std::move(state);
-}
-
 void traffic_node::set_hosts(std::vector<mesh::host_entry> hosts)
 {
     placement_.set_hosts(hosts, mono_now());
@@ -317,13 +310,6 @@
 {
     last_request_ = mono_now();
     auto const& names = options_.headers;
-    if (request.method == "GET" && request.target == state_path)
-    {
-        mesh::http_response response{.status = shared_state_ ? 200 : 503};
-        if (shared_state_)
-            response.body = *shared_state_;
-        return from->respond(mesh::write_response(response, "GET"), false);
-    }
     auto const* id = request.fields.find(names.request_id);
     auto const* terms_text = request.fields.find(terms_field);
     auto const terms =
--- a/src/pollenhall_sidecar/traffic_node.hpp
+++ b/src/pollenhall_sidecar/traffic_node.hpp
@@ -18,9 +18,6 @@
 
 class origin_call;
 
-/// Path at the gate's address under which peers ask for the shared state.
-extern std::string const state_path;
-
 /// Serves calls. All members but the constructor are used on the traffic
 /// thread.
 class traffic_node
@@ -34,8 +31,6 @@
     void set_routes(std::shared_ptr<mesh::route_table const> routes);
     void set_hosts(std::vector<mesh::host_entry> hosts);
     void set_upstream(std::optional<mesh::registered_upstream> upstream);
-    /// What peers are told that ask for the configuration and the hosts.
-    void set_shared_state(std::shared_ptr<std::string const> state);
     /// Called with the version of a configuration that a peer knows and this
     /// node doesn't, and the peer's host.
     void on_newer_version(
@@ -95,7 +90,6 @@
     mesh::split_rotation rotation_;
     mesh::answer_record answers_;
     std::shared_ptr<mesh::route_table const> routes_;
-    std::shared_ptr<std::string const> shared_state_;
     std::map<mesh::host_address, std::shared_ptr<client_pool>> pools_;
     listener callers_;
     listener peers_;
