Calls of one request share their place in queues and in the allowance

Change: a rank is a level, as before, and a cohort that follows from the id of the request from outside; calls inherit it. Gates start the lowest cohort first; the allowance of repeats denies the last cohorts first.

--- a/src/include/pollenhall/mesh/attempt_policy.hpp
+++ b/src/include/pollenhall/mesh/attempt_policy.hpp
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <pollenhall/ids.hpp>
+#include <pollenhall/mesh/call_rank.hpp>
 
 #include <map>
 #include <vector>
@@ -62,6 +63,10 @@
     double use_share = 0.8;
     /// Part of it that is kept for calls of the most urgent requests.
     double urgent_share = 0.35;
+    /// Part of what a call may use that the last cohort is denied. Where the
+    /// allowance is short, repeats go to all calls of some requests, not to
+    /// some calls of all.
+    double cohort_share = 0.6;
 
     bool operator==(retry_allowance_options const&) const = default;
 };
@@ -80,8 +85,8 @@
     /// Sets the number of nodes that share the slack.
     void set_nodes(std::size_t nodes);
     void on_first_attempt(service_name const& service, mono_time now);
-    /// Takes one repeat; false if none is left for a call of this urgency.
-    bool spend(service_name const& service, bool urgent, mono_time now);
+    /// Takes one repeat; false if none is left for a call of this rank.
+    bool spend(service_name const& service, call_rank rank, mono_time now);
     /// Counts a repeat that can't be avoided: a call made by a repeated run.
     void count(service_name const& service, mono_time now);
 
@@ -98,6 +103,8 @@
     [[nodiscard]] std::size_t slots() const;
     // Whether one more repeat fits into `share` of the allowance.
     [[nodiscard]] bool has_room(history const& counts, double share) const;
+    // Part of the allowance that a call of this rank may use.
+    [[nodiscard]] double share_of(call_rank rank) const;
 
     retry_allowance_options options_;
     std::size_t nodes_ = 1;
--- a/src/include/pollenhall/mesh/gate_queue.hpp
+++ b/src/include/pollenhall/mesh/gate_queue.hpp
@@ -7,6 +7,7 @@
 #pragma once
 
 #include <pollenhall/ids.hpp>
+#include <pollenhall/mesh/call_rank.hpp>
 #include <pollenhall/mesh/upstream_load.hpp>
 
 #include <cstdint>
@@ -25,8 +26,7 @@
 struct gate_request
 {
     gate_call number;
-    // The lowest goes first.
-    int rank = 0;
+    call_rank rank{};
     mono_time arrived{};
     // Nothing that ends later is of use.
     mono_time deadline{};
--- a/src/libpollenhall_mesh/attempt_policy.cpp
+++ b/src/libpollenhall_mesh/attempt_policy.cpp
@@ -2,6 +2,8 @@
 
 #include <pollenhall/mesh/attempt_policy.hpp>
 
+#include <pollenhall/trace_context.hpp>
+
 #include <algorithm>
 #include <array>
 #include <numeric>
@@ -100,11 +102,17 @@
     ++advance(service, now).first.back();
 }
 
-bool retry_allowance::spend(service_name const& service, bool urgent,
+double retry_allowance::share_of(call_rank rank) const
+{
+    double const most = is_urgent(rank) ? 1.0 : 1.0 - options_.urgent_share;
+    return most * (1.0 - options_.cohort_share * rank.cohort / cohort_count);
+}
+
+bool retry_allowance::spend(service_name const& service, call_rank rank,
                             mono_time now)
 {
     auto& counts = advance(service, now);
-    if (!has_room(counts, urgent ? 1.0 : 1.0 - options_.urgent_share))
+    if (!has_room(counts, share_of(rank)))
         return false;
     ++counts.repeats.back();
     return true;
--- a/src/libpollenhall_mesh/attempt_policy_test.cpp
+++ b/src/libpollenhall_mesh/attempt_policy_test.cpp
@@ -95,7 +95,10 @@
                     new_first += calls;
                     for (int i = 0; i < 60; ++i)
                         new_repeats +=
-                            allowance.spend(service, i % 2 == 0, now) ? 1 : 0;
+                            allowance.spend(service,
+                                            {.level = i % 3, .cohort = i}, now)
+                                ? 1
+                                : 0;
                 }
                 first.push_back(new_first);
                 repeats.push_back(new_repeats);
@@ -126,10 +129,10 @@
     for (int i = 0; i < 100; ++i)
         allowance.on_first_attempt(service, now);
     int others = 0;
-    while (allowance.spend(service, false, now))
+    while (allowance.spend(service, {.level = 4}, now))
         ++others;
     int urgent = 0;
-    while (allowance.spend(service, true, now))
+    while (allowance.spend(service, {.level = 0}, now))
         ++urgent;
     CHECK(others > 0);
     CHECK(urgent > 0);
@@ -140,6 +143,6 @@
         mono_time const later = now + seconds{11};
         for (int i = 0; i < 30; ++i)
             allowance.count(service, later);
-        CHECK_FALSE(allowance.spend(service, true, later));
+        CHECK_FALSE(allowance.spend(service, {.level = 0}, later));
     }
 }
--- a/src/libpollenhall_mesh/gate_queue_test.cpp
+++ b/src/libpollenhall_mesh/gate_queue_test.cpp
@@ -24,7 +24,7 @@
                        std::int64_t lives_ms = 700)
 {
     return {.number = gate_call(number),
-            .rank = rank,
+            .rank = {.level = rank},
             .arrived = at_ms(ms),
             .deadline = at_ms(ms + lives_ms),
             .max_wait = milliseconds(150)};
--- a/src/pollenhall_sidecar/call.cpp
+++ b/src/pollenhall_sidecar/call.cpp
@@ -40,8 +40,10 @@
 std::string write_terms(call_terms const& terms)
 {
     return word(terms.service.value()) + " " + word(terms.expected.value()) +
-           (terms.idempotent ? " i " : " n ") + std::to_string(terms.rank) +
-           " " + std::to_string(terms.objective.count()) +
+           (terms.idempotent ? " i " : " n ") +
+           std::to_string(terms.rank.level) + " " +
+           std::to_string(terms.rank.cohort) + " " +
+           std::to_string(terms.objective.count()) +
            (terms.is_repeat ? " r " : " f ") +
            std::to_string(terms.version.value());
 }
@@ -56,8 +58,8 @@
     std::int64_t objective = 0;
     std::int64_t version = 0;
     call_terms terms;
-    if (!(in >> service >> expected >> idempotent >> terms.rank >> objective >>
-          repeat >> version))
+    if (!(in >> service >> expected >> idempotent >> terms.rank.level >>
+          terms.rank.cohort >> objective >> repeat >> version))
         return std::nullopt;
     terms.service = service_name(service);
     terms.expected = mesh::incarnation_id(expected);
--- a/src/pollenhall_sidecar/call.hpp
+++ b/src/pollenhall_sidecar/call.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <pollenhall/mesh/attempt_policy.hpp>
+#include <pollenhall/mesh/call_rank.hpp>
 #include <pollenhall/mesh/configuration.hpp>
 #include <pollenhall/mesh/header_names.hpp>
 #include <pollenhall/mesh/http_message.hpp>
@@ -26,8 +27,7 @@
     // The incarnation that the origin chose.
     mesh::incarnation_id expected;
     bool idempotent = false;
-    // Order at gates, see `rank_of_entry`; the lowest goes first.
-    int rank = 0;
+    mesh::call_rank rank{};
     // Time within which the answer has its full value; zero if not declared.
     milliseconds objective{0};
     // An upstream may have seen an earlier attempt.
@@ -36,18 +36,6 @@
     mesh::config_version version;
 };
 
-/// Rank of a request from outside, by its route's priority. A call that is
-/// made while such a request runs has the rank of its request less one: work
-/// that was begun goes before new work of the same priority.
-constexpr int rank_of_entry(int priority)
-{
-    return 2 * priority + 1;
-}
-constexpr int rank_of_inner_call(int parent_rank)
-{
-    return parent_rank - parent_rank % 2;
-}
-
 /// A call on its way to an upstream.
 struct mesh_call
 {
--- a/src/pollenhall_sidecar/origin_call.cpp
+++ b/src/pollenhall_sidecar/origin_call.cpp
@@ -23,9 +23,6 @@
 // spread keeps callers from coming back together.
 constexpr milliseconds least_retry_after{150};
 constexpr milliseconds most_retry_after{2'000};
-// Calls up to this rank, those of requests of priority 0, may use the last of
-// the retry allowance.
-constexpr int urgent_rank = 1;
 // An overdue answer is only given up while this share of the time is left for
 // another attempt.
 constexpr double most_patience_share = 0.55;
@@ -295,8 +292,8 @@
 
 bool origin_call::spend_repeat()
 {
-    return node_.allowance_.spend(call_.terms.service,
-                                  call_.terms.rank <= urgent_rank, mono_now());
+    return node_.allowance_.spend(call_.terms.service, call_.terms.rank,
+                                  mono_now());
 }
 
 void origin_call::note_reached(mesh::host_address const& host,
@@ -365,7 +362,8 @@
             .add("incarnation", call_.terms.expected.value())
             .add("status", result.response.status)
             .add("attempts", attempts_)
-            .add("rank", call_.terms.rank)
+            .add("level", call_.terms.rank.level)
+            .add("cohort", call_.terms.rank.cohort)
             .add("after_ms",
                  std::chrono::duration_cast<milliseconds>(mono_now() - arrived_)
                      .count())
@@ -386,7 +384,8 @@
         .add("attempts", attempts_)
         .add("after_ms", waited.count())
         .add("time_left_ms", time_left(call_.deadline, mono_now()).count())
-        .add("rank", call_.terms.rank)
+        .add("level", call_.terms.rank.level)
+        .add("cohort", call_.terms.rank.cohort)
         .add("version", call_.terms.version.value());
     switch (step)
     {
--- a/src/pollenhall_sidecar/sidecar_test.cpp
+++ b/src/pollenhall_sidecar/sidecar_test.cpp
@@ -501,7 +501,7 @@
     call_terms const terms{.service = service_name("shop"),
                            .expected = mesh::incarnation_id("i-1"),
                            .idempotent = true,
-                           .rank = 2,
+                           .rank = {.level = 2, .cohort = 77},
                            .objective = milliseconds(300),
                            .is_repeat = true,
                            .version = mesh::config_version(7)};
@@ -510,7 +510,7 @@
     CHECK(read->service == terms.service);
     CHECK(read->expected == terms.expected);
     CHECK(read->idempotent);
-    CHECK(read->rank == 2);
+    CHECK(read->rank == mesh::call_rank{.level = 2, .cohort = 77});
     CHECK(read->objective == milliseconds(300));
     CHECK(read->is_repeat);
     CHECK(read->version == mesh::config_version(7));
--- a/src/pollenhall_sidecar/traffic_node.cpp
+++ b/src/pollenhall_sidecar/traffic_node.cpp
@@ -286,8 +286,9 @@
         .id = request_id(*id),
         .terms = {.service = rotation_.next(*route),
                   .idempotent = route->idempotent,
-                  .rank = parent == nullptr ? rank_of_entry(route->priority)
-                                            : rank_of_inner_call(parent->rank),
+                  .rank = parent == nullptr
+                              ? mesh::rank_of_entry(route->priority, *id)
+                              : mesh::rank_of_inner_call(parent->rank),
                   .objective = route->objective,
                   .is_repeat = parent != nullptr && parent->is_repeat,
                   .version = routes_->config().version},
