--- a/src/include/pollenhall/mesh/attempt_policy.hpp
+++ b/src/include/pollenhall/mesh/attempt_policy.hpp
@@ -67,6 +67,11 @@
     /// allowance is short, repeats go to all calls of some requests, not to
     /// some calls of all.
     double cohort_share = 0.6;
+    /// Part of a window's allowance that one second may use, and repeats that
+    /// it may use in any case: a service that refuses for long would else use
+    /// it all up in the first second, on whatever comes first.
+    double second_share = 0.15;
+    double second_slack = 8;
 
     bool operator==(retry_allowance_options const&) const = default;
 };
@@ -103,6 +108,8 @@
     [[nodiscard]] std::size_t slots() const;
     // Whether one more repeat fits into `share` of the allowance.
     [[nodiscard]] bool has_room(history const& counts, double share) const;
+    // The same for the allowance of the last second.
+    [[nodiscard]] bool has_pace(history const& counts, double share) const;
     // Part of the allowance that a call of this rank may use.
     [[nodiscard]] double share_of(call_rank rank) const;
 
@@ -117,8 +124,10 @@
     bool idempotent = false;
     /// Most attempts that may run.
     int attempts = 1;
-    /// Most attempts that an upstream says it did not run.
-    int refusals = 4;
+    /// Most attempts that an upstream says it did not run. Many, since each is
+    /// paid for from the allowance: where half of the calls are refused, one
+    /// in a thousand needs more.
+    int refusals = 10;
     /// Most attempts that reach no upstream.
     int placements = 3;
 };
--- a/src/libpollenhall_mesh/attempt_policy.cpp
+++ b/src/libpollenhall_mesh/attempt_policy.cpp
@@ -96,6 +96,19 @@
     return true;
 }
 
+bool retry_allowance::has_pace(history const& counts, double share) const
+{
+    auto const size = static_cast<std::ptrdiff_t>(slots());
+    auto const most = std::max(
+        std::accumulate(counts.first.begin(), counts.first.end() - size, 0),
+        std::accumulate(counts.first.end() - size, counts.first.end(), 0));
+    auto const last_second = std::accumulate(
+        counts.repeats.end() - seconds{1} / slot_time, counts.repeats.end(), 0);
+    return last_second + 1 <= share * (options_.use_share * options_.ratio *
+                                           most * options_.second_share +
+                                       options_.second_slack);
+}
+
 void retry_allowance::on_first_attempt(service_name const& service,
                                        mono_time now)
 {
@@ -112,7 +125,8 @@
                             mono_time now)
 {
     auto& counts = advance(service, now);
-    if (!has_room(counts, share_of(rank)))
+    auto const share = share_of(rank);
+    if (!has_room(counts, share) || !has_pace(counts, share))
         return false;
     ++counts.repeats.back();
     return true;
