An overdue answer is waited for while another upstream runs the call

A node that had been asked to stop gave an overdue attempt up at which the upstream was at work, for another that failed, and answered 502. The silence of an upstream says little of what becomes of it. Test: 'an answer that is overdue' in sidecar_test, failed first: 502 before the first attempt was answered.

--- a/src/include/pollenhall/mesh/attempt_policy.hpp
+++ b/src/include/pollenhall/mesh/attempt_policy.hpp
@@ -152,7 +152,7 @@
         return allowance() ? next_step::repeat : final_step(end);
     }
 
-    /// Whether an attempt whose answer is overdue is given up for another;
+    /// Whether another attempt runs beside one whose answer is overdue;
     /// `repeat` if so, else `deliver`: what comes is waited for.
     template <class SpendRepeat>
     next_step on_overdue(SpendRepeat&& allowance)
--- a/src/pollenhall_sidecar/origin_call.cpp
+++ b/src/pollenhall_sidecar/origin_call.cpp
@@ -102,46 +102,47 @@
         auto const step = policy_.on_end(end, false, [] { return false; });
         return answer(step, {.end = end, .reason = "no_upstream"});
     }
-    ++attempts_;
+    auto const number = ++attempts_;
     call_.terms.expected = host->incarnation;
     tried_.push_back(host->host);
-    at_ = host->host;
-    attempt_began_ = mono_now();
+    open_.emplace(number,
+                  open_attempt{.host = host->host, .began = mono_now()});
     node_.placement_.on_sent(host->host);
     watch_answer();
     if (host->host == node_.options_.host)
-        send_to_gate();
+        send_to_gate(number);
     else
-        send_to_peer(*host);
+        send_to_peer(number, *host);
 }
 
-void origin_call::send_to_gate()
+void origin_call::send_to_gate(int number)
 {
-    auto const number = node_.gate_.submit(
+    auto const at_gate = node_.gate_.submit(
         call_,
-        [weak = weak_from_this()](attempt_result const& result)
+        [weak = weak_from_this(), number](attempt_result const& result)
         {
             auto const self = weak.lock();
             if (!self || self->done_)
                 return;
-            self->node_.placement_.on_finished(*self->at_);
-            self->node_.placement_.on_load(*self->at_, self->node_.gate_.load(),
+            auto const& host = self->node_.options_.host;
+            self->node_.placement_.on_finished(host);
+            self->node_.placement_.on_load(host, self->node_.gate_.load(),
                                            mono_now());
-            self->on_attempt_end(result);
+            self->on_attempt_end(number, result);
         });
-    // The gate may have answered already, and a next attempt be under way.
-    if (!done_ && at_ && *at_ == node_.options_.host)
-        at_gate_ = number;
+    // The gate may have answered already.
+    if (auto const found = open_.find(number); found != open_.end())
+        found->second.at_gate = at_gate;
 }
 
-void origin_call::send_to_peer(mesh::host_entry const& host)
+void origin_call::send_to_peer(int number, mesh::host_entry const& host)
 {
     auto request = call_.request;
     request.fields.set(
         node_.options_.headers.time_left_ms,
         std::to_string(time_left(call_.deadline, mono_now()).count()));
     request.fields.set(terms_field, write_terms(call_.terms));
-    exchange_ = node_.peer_pool(host)->start(
+    open_.at(number).exchange = node_.peer_pool(host)->start(
         {.bytes = mesh::write_request(request),
          .head = request.method == "HEAD",
          .deadline = call_.deadline + timeout_margin,
@@ -154,21 +155,18 @@
              return echoed != nullptr && *echoed == id.value();
          },
          .on_end =
-             [weak = weak_from_this(), at = host.host](exchange_result result)
+             [weak = weak_from_this(), number,
+              at = host.host](exchange_result result)
          {
-             if (auto self = weak.lock(); self && !self->done_)
-                 self->on_peer_end(at, std::move(result));
+             auto const self = weak.lock();
+             if (!self || self->done_)
+                 return;
+             self->node_.placement_.on_finished(at);
+             self->on_attempt_end(
+                 number, self->read_peer_result(at, std::move(result)));
          }});
 }
 
-void origin_call::on_peer_end(mesh::host_address const& host,
-                              exchange_result result)
-{
-    exchange_.reset();
-    node_.placement_.on_finished(host);
-    on_attempt_end(read_peer_result(host, std::move(result)));
-}
-
 attempt_result origin_call::read_peer_result(mesh::host_address const& host,
                                              exchange_result result)
 {
@@ -203,23 +201,38 @@
             .retry_after = report->retry_after};
 }
 
-void origin_call::on_attempt_end(attempt_result const& result)
+void origin_call::note_answer(open_attempt const& ended, mesh::attempt_end end)
 {
-    auto const keep = shared_from_this();
     auto const now = mono_now();
-    if (result.gate_not_ready && at_)
-        node_.placement_.on_not_ready(*at_, not_ready_pause, now);
-    if (at_)
-        note_reached(*at_, result.end);
-    at_.reset();
-    at_gate_.reset();
-    node_.timers_.cancel(overdue_);
-    if (result.end == mesh::attempt_end::answered ||
-        result.end == mesh::attempt_end::failed)
-        node_.answers_.on_answer(route_.name, now - attempt_began_,
-                                 result.end == mesh::attempt_end::failed);
+    note_reached(ended.host, end);
+    if (end == mesh::attempt_end::answered || end == mesh::attempt_end::failed)
+        node_.answers_.on_answer(route_.name, now - ended.began,
+                                 end == mesh::attempt_end::failed);
     else
         node_.answers_.on_failure(route_.name);
+}
+
+void origin_call::on_attempt_end(int number, attempt_result const& result)
+{
+    auto const keep = shared_from_this();
+    auto const ended = open_.extract(number).mapped();
+    if (result.gate_not_ready)
+        node_.placement_.on_not_ready(ended.host, not_ready_pause, mono_now());
+    note_answer(ended, result.end);
+    if (!open_.empty() && result.end != mesh::attempt_end::answered)
+    {
+        // The other attempt may still bring an answer.
+        policy_.on_end(result.end, false, [] { return false; });
+        log_event("attempt_failed")
+            .add("id", call_.id.value())
+            .add("service", call_.terms.service.value())
+            .add("at", ended.host.value())
+            .add("end", mesh::to_string(result.end))
+            .add("reason", result.reason)
+            .add("still_open", static_cast<std::int64_t>(open_.size()));
+        return;
+    }
+    node_.timers_.cancel(overdue_);
     // Where many requests fail, repeating whole ones adds to the load.
     bool const worth_repeating = result.end != mesh::attempt_end::failed ||
                                  node_.answers_.failures_are_rare(route_.name);
@@ -238,10 +251,11 @@
             .add("service", call_.terms.service.value())
             .add("after", mesh::to_string(result.end))
             .add("reason", result.reason)
-            .add("at", tried_.back().value())
+            .add("at", ended.host.value())
             .add("counts_as_repeat", step == mesh::next_step::repeat);
         return attempt();
     }
+    cancel_attempts();
     answer(step, result);
 }
 
@@ -249,8 +263,8 @@
 {
     node_.timers_.cancel(overdue_);
     auto const patience = node_.answers_.patience(route_.name);
-    auto const left = time_left(call_.deadline, attempt_began_);
-    if (!route_.idempotent || !patience ||
+    auto const left = time_left(call_.deadline, mono_now());
+    if (!route_.idempotent || !patience || open_.size() > 1 ||
         *patience > std::chrono::duration_cast<milliseconds>(
                         left * most_patience_share))
         return;
@@ -265,26 +279,25 @@
 void origin_call::on_overdue()
 {
     auto const keep = shared_from_this();
-    if (done_ || !at_ || choose() == nullptr)
+    if (done_ || open_.empty() || choose() == nullptr)
         return;
     // Under pressure all answers are late, and each repeat repeats the calls
     // below it.
     if (!node_.answers_.failures_are_rare(route_.name))
         return;
+    auto const& waiting = open_.begin()->second;
     node_.answers_.on_failure(route_.name);
     log_event("answer_overdue")
         .add("id", call_.id.value())
         .add("service", call_.terms.service.value())
-        .add("at", at_->value())
-        .add("after_ms", std::chrono::duration_cast<milliseconds>(
-                             mono_now() - attempt_began_)
+        .add("at", waiting.host.value())
+        .add("after_ms", std::chrono::duration_cast<milliseconds>(mono_now() -
+                                                                  waiting.began)
                              .count());
-    // Another attempt may not come; then this one is waited for.
     auto const step = policy_.on_overdue([&] { return spend_repeat(); });
     if (step != mesh::next_step::repeat)
         return;
-    note_reached(*at_, mesh::attempt_end::unknown);
-    cancel_attempt();
+    note_reached(waiting.host, mesh::attempt_end::unknown);
     call_.terms.is_repeat = true;
     node_.metrics_.note_repeat(call_.terms.service, "answer_overdue");
     attempt();
@@ -318,7 +331,7 @@
     if (done_)
         return;
     auto const keep = shared_from_this();
-    cancel_attempt();
+    cancel_attempts();
     answer(mesh::next_step::time_out,
            {.end = mesh::attempt_end::timed_out, .reason = "deadline"});
 }
@@ -330,23 +343,21 @@
     auto const keep = shared_from_this();
     node_.metrics_.note_call(call_.terms.service, "abandoned",
                              mono_now() - arrived_);
-    cancel_attempt();
+    cancel_attempts();
     done_ = true;
     node_.timers_.cancel(timeout_);
     node_.timers_.cancel(overdue_);
 }
 
-void origin_call::cancel_attempt()
+void origin_call::cancel_attempts()
 {
-    if (!at_)
-        return;
-    node_.placement_.on_finished(*at_);
-    if (at_gate_)
-        node_.gate_.cancel(*at_gate_);
-    client_pool::cancel(exchange_);
-    exchange_.reset();
-    at_.reset();
-    at_gate_.reset();
+    for (auto const& [number, item] : std::exchange(open_, {}))
+    {
+        node_.placement_.on_finished(item.host);
+        if (item.at_gate)
+            node_.gate_.cancel(*item.at_gate);
+        client_pool::cancel(item.exchange);
+    }
 }
 
 void origin_call::answer(mesh::next_step step, attempt_result const& result)
--- a/src/pollenhall_sidecar/sidecar_test.cpp
+++ b/src/pollenhall_sidecar/sidecar_test.cpp
@@ -64,6 +64,14 @@
     std::vector<mesh::http_request> seen;
     int abandoned = 0;
 
+    /// Whether a request waits for its answer.
+    [[nodiscard]] bool keeps_one() const { return !kept_.empty(); }
+    /// Answers what a script has kept silent about.
+    void answer_kept()
+    {
+        for (auto const& item : std::exchange(kept_, {}))
+            item.from->respond(item.answer, false);
+    }
     /// Takes no more connections, as if the process had ended.
     void end() { listener_.stop_accepting(); }
 
@@ -100,12 +108,13 @@
             response.status = 500;
         auto const bytes = mesh::write_response(response, request.method);
         seen.push_back(std::move(request));
+
         if (what == step::break_off)
             from->abort();
         else if (what == step::stay_silent)
         {
             from->on_abandoned([this] { ++abandoned; });
-            kept_.push_back(from);
+            kept_.push_back({.from = from, .answer = bytes});
         }
         else
             from->respond(what == step::answer_twice ? bytes + bytes : bytes,
@@ -115,7 +124,12 @@
     std::string name_;
     asio::ip::tcp::endpoint address_;
     listener listener_;
-    std::vector<std::shared_ptr<server_connection>> kept_;
+    struct kept_request
+    {
+        std::shared_ptr<server_connection> from;
+        std::string answer;
+    };
+    std::vector<kept_request> kept_;
 };
 
 mesh::route make_route(char const* prefix, bool idempotent)
@@ -176,7 +190,7 @@
                 .outbound = free_address(),
                 .gate = gate,
                 .headers = names,
-                .retries = {.ratio = 0.2, .slack = 50}};
+                .retries = {.ratio = 0.2, .slack = 100, .second_slack = 50}};
     }
 
     [[nodiscard]] std::vector<mesh::host_entry> hosts() const
@@ -345,14 +359,15 @@
     SUBCASE("by refusing it has another run an order")
     {
         nodes.first.set_hosts(nodes.hosts());
-        // An upstream that refused may be asked again; four refusals are
+        // An upstream that refused may be asked again; ten refusals are
         // enough.
-        nodes.first_upstream.script = {step::refuse, step::refuse};
-        nodes.second_upstream.script = {step::refuse, step::refuse};
+        nodes.first_upstream.script.assign(5, step::refuse);
+        nodes.second_upstream.script.assign(5, step::refuse);
         auto const refused = nodes.call("POST", "/order/a");
         CHECK(refused.response.status == 503);
         CHECK(refused.response.fields.find(names.signature) == nullptr);
         CHECK(refused.response.fields.find(names.retry_after) != nullptr);
+        CHECK(nodes.runs() == 10);
         CHECK(nodes.call("POST", "/order/b").response.status == 200);
     }
     SUBCASE("has its own failure passed on with its mark")
@@ -380,6 +395,59 @@
     }
 }
 
+TEST_CASE("an answer that is overdue")
+{
+    two_nodes nodes;
+    // What is usual must be known first.
+    for (int i = 0; i < 25; ++i)
+        CHECK(nodes.call("GET", "/read/a").response.status == 200);
+    auto const runs = nodes.runs();
+    std::vector const both{&nodes.first_upstream, &nodes.second_upstream};
+
+    SUBCASE("is waited for while another upstream runs the call, and passed on")
+    {
+        // Whichever is asked first is slow; the other one never answers.
+        for (auto* upstream : both)
+            upstream->script = {step::stay_silent};
+        auto const result = nodes.call("GET", "/read/b");
+        CHECK(result.response.status == 504);
+        CHECK(nodes.runs() == runs + 2);
+        CHECK(nodes.first_upstream.abandoned == 1);
+        CHECK(nodes.second_upstream.abandoned == 1);
+    }
+    SUBCASE("is passed on although the second attempt has failed")
+    {
+        for (auto* upstream : both)
+            upstream->script = {step::stay_silent};
+        std::optional<exchange_result> ended;
+        nodes.start(nodes.make_request("GET", "/read/b"),
+                    [&](exchange_result result) { ended = std::move(result); });
+        nodes.run_until([&] { return nodes.runs() == runs + 1; });
+        // The second attempt breaks off; then the first is answered.
+        auto* slow = !nodes.first_upstream.keeps_one() ? &nodes.second_upstream
+                                                       : &nodes.first_upstream;
+        auto* other = slow == both[0] ? both[1] : both[0];
+        other->script = {step::break_off};
+        nodes.run_until([&] { return nodes.runs() == runs + 2; });
+        nodes.run_for(milliseconds(50));
+        CHECK_FALSE(ended.has_value());
+        slow->answer_kept();
+        nodes.run_until([&] { return ended.has_value(); });
+        REQUIRE(ended.has_value());
+        CHECK(ended->response.status == 200);
+    }
+    SUBCASE("gives way to the second attempt's answer")
+    {
+        nodes.first_upstream.script = {step::stay_silent};
+        nodes.second_upstream.script = {};
+        // Until the silent one is asked first.
+        while (!nodes.first_upstream.keeps_one())
+            CHECK(nodes.call("GET", "/read/b").response.status == 200);
+        nodes.run_for(milliseconds(50));
+        CHECK(nodes.first_upstream.abandoned == 1);
+    }
+}
+
 TEST_CASE("a caller that leaves ends the work at the upstream")
 {
     two_nodes nodes;
