--- /dev/null
+++ b/src/libpollenhall/log_walk.cpp
@@ -0,0 +1,158 @@
+// Selects and orders log lines.
+
+#include <pollenhall/log_walk.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace pollenhall
+{
+namespace
+{
+
+// How long before a request a change may have come that explains its end, in
+// ms: heartbeats, watches and health checks take about as long.
+constexpr int change_window_ms = 2'000;
+
+// Events that say what a node believes, as far as they explain refusals.
+constexpr std::array<std::string_view, 16> changes{"configuration_in_force",
+                                                   "configuration_not_readable",
+                                                   "hosts_known",
+                                                   "node_started",
+                                                   "node_stopped",
+                                                   "node_stopping",
+                                                   "store_history_gone",
+                                                   "store_lost",
+                                                   "store_news_lost",
+                                                   "store_news_regained",
+                                                   "store_regained",
+                                                   "traffic_stopped",
+                                                   "upstream_changed",
+                                                   "upstream_crashed",
+                                                   "upstream_health_checked",
+                                                   "crash_suspicion_heard"};
+
+bool is_change(log_line const& line)
+{
+    return std::find(changes.begin(), changes.end(), line.field("event")) !=
+           changes.end();
+}
+
+bool belongs_to(std::string_view line_id, std::string_view id)
+{
+    return line_id == id ||
+           (line_id.size() > id.size() && line_id.starts_with(id) &&
+            line_id[id.size()] == '.');
+}
+
+/// Milliseconds of the day of a time such as 2026-12-04T14:23:46.354Z; -1 if
+/// it is none.
+int day_ms(std::string_view time)
+{
+    auto const number = [&](std::size_t at, std::size_t size)
+    {
+        int value = 0;
+        for (std::size_t i = at; i < at + size; ++i)
+        {
+            if (time[i] < '0' || time[i] > '9')
+                return -1;
+            value = value * 10 + (time[i] - '0');
+        }
+        return value;
+    };
+    if (time.size() < 23)
+        return -1;
+    auto const hours = number(11, 2);
+    auto const minutes = number(14, 2);
+    auto const whole = number(17, 2);
+    auto const ms = number(20, 3);
+    if (hours < 0 || minutes < 0 || whole < 0 || ms < 0)
+        return -1;
+    return ((hours * 60 + minutes) * 60 + whole) * 1'000 + ms;
+}
+
+} // namespace
+
+std::string_view log_line::field(std::string const& name) const
+{
+    auto const found = fields.find(name);
+    return found == fields.end() ? std::string_view{} : found->second;
+}
+
+log_line parse_log_line(std::string source, std::string text)
+{
+    log_line line{.source = std::move(source), .text = std::move(text)};
+    std::string_view rest = line.text;
+    while (!rest.empty())
+    {
+        auto const start = rest.find_first_not_of(' ');
+        if (start == std::string_view::npos)
+            break;
+        rest.remove_prefix(start);
+        auto const equals = rest.find('=');
+        auto const space = rest.find(' ');
+        if (equals == std::string_view::npos || space < equals)
+        {
+            rest.remove_prefix(std::min(space, rest.size()));
+            continue;
+        }
+        std::string const key(rest.substr(0, equals));
+        rest.remove_prefix(equals + 1);
+        std::string value;
+        if (rest.starts_with('"'))
+        {
+            std::size_t at = 1;
+            for (; at < rest.size() && rest[at] != '"'; ++at)
+            {
+                if (rest[at] == '\\' && at + 1 < rest.size())
+                    ++at;
+                value += rest[at];
+            }
+            rest.remove_prefix(std::min(at + 1, rest.size()));
+        }
+        else
+        {
+            auto const end = std::min(rest.find(' '), rest.size());
+            value = rest.substr(0, end);
+            rest.remove_prefix(end);
+        }
+        line.fields.insert_or_assign(key, value);
+    }
+    return line;
+}
+
+log_walk walk_logs(std::vector<log_line> const& lines, std::string_view id)
+{
+    log_walk walk;
+    int first = -1;
+    int last = -1;
+    for (auto const& line : lines)
+    {
+        if (!belongs_to(line.field("id"), id))
+            continue;
+        auto const time = day_ms(line.field("ts"));
+        first = first < 0 ? time : std::min(first, time);
+        last = std::max(last, time);
+        walk.lines.push_back(line);
+        auto const event = line.field("event");
+        if ((event == "call_not_served" || event == "request_refused") &&
+            line.field("id").size() >= walk.failed_call.size())
+        {
+            walk.failed_call = line.field("id");
+            walk.reason = line.field("reason");
+        }
+    }
+    for (auto const& line : lines)
+    {
+        auto const time = day_ms(line.field("ts"));
+        if (first >= 0 && is_change(line) && time >= first - change_window_ms &&
+            time <= last)
+            walk.lines.push_back(line);
+    }
+    std::stable_sort(walk.lines.begin(), walk.lines.end(),
+                     [](auto const& left, auto const& right)
+                     { return left.field("ts") < right.field("ts"); });
+    return walk;
+}
+
+} // namespace pollenhall
--- a/src/pollenctl/commands.cpp
+++ b/src/pollenctl/commands.cpp
@@ -4,6 +4,7 @@
 
 #include "burn_output.hpp"
 #include "declaration_folder.hpp"
+#include "log_command.hpp"
 #include "operator_connection.hpp"
 
 #include <array>
@@ -573,6 +574,9 @@
     command{"explain", "explain TRACE_ID",
             "Shows the decisions on a recent request along its chain.",
             &with_messages<run_explain>},
+    command{"trace", "trace REQUEST_ID --logs FILE...",
+            "Follows a request and its calls through log files of nodes.",
+            &run_trace},
     command{"new-key", "new-key NAME --key-file NEW_FILE",
             "Makes an operator's key and prints the hash to declare.",
             &with_messages<run_new_key>},
--- a/src/pollenctl/commands.hpp
+++ b/src/pollenctl/commands.hpp
@@ -7,6 +7,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace pollenhall
 {
@@ -32,6 +33,7 @@
     std::string actor;
     std::string member;
     std::string key_file;
+    std::vector<std::string> logs;
     bool undo = false;
 
     [[nodiscard]] bool wants_json() const { return format == "json"; }
--- a/src/pollenctl/main.cpp
+++ b/src/pollenctl/main.cpp
@@ -45,6 +45,8 @@
         "report, settle: name of the member");
     add("key-file,k", po::value(&arguments.key_file),
         "file with the operator's name and key; not needed by check");
+    add("logs", po::value(&arguments.logs)->multitoken(),
+        "trace: log files of nodes");
     add("undo", po::bool_switch(&arguments.undo),
         "drain: let the upstream take work again");
     add("help,h", "show this help");
--- a/testsuite/soak/fleet.py
+++ b/testsuite/soak/fleet.py
@@ -43,6 +43,8 @@
         self.stopping_since = None
         self.harmed_until = 0.0
         self.boots = 0
+        # Held while the upstream is being replaced.
+        self.replacing = asyncio.Lock()
 
     def proxies(self):
         return (self.gate_proxy, self.upstream_proxy, self.store_proxy)
--- a/testsuite/soak/proxy.py
+++ b/testsuite/soak/proxy.py
@@ -59,6 +59,8 @@
                              return_exceptions=True)
         self.open.discard(pair)
         self.silenced.discard(pair)
+        for one in pair:
+            one.close()
 
     async def pump(self, pair, reader, writer, cut):
         try:
--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -339,20 +339,22 @@
                                        f"at {late} after {bound:.1f} s")
 
     async def crash_upstream(self, node, for_s):
-        node.harm(for_s)
-        await node.upstream.stop()
-        await asyncio.sleep(for_s)
-        await node.upstream.start()
+        async with node.replacing:
+            node.harm(for_s)
+            await node.upstream.stop()
+            await asyncio.sleep(for_s)
+            await node.upstream.start()
 
     async def drain_upstream(self, node, _for_s):
-        acknowledged = await node.upstream.leave()
-        if not acknowledged and not node.harmed(time.monotonic()):
-            # One may cross a planned stop; the next goes through.
-            await asyncio.sleep(1)
-        await asyncio.sleep(DRAIN_S + 0.7)
-        await node.upstream.call_node("DELETE")
-        await node.upstream.stop()
-        await node.upstream.start()
+        async with node.replacing:
+            acknowledged = await node.upstream.leave()
+            if not acknowledged and not node.harmed(time.monotonic()):
+                # One may cross a planned stop; the next goes through.
+                await asyncio.sleep(1)
+            await asyncio.sleep(DRAIN_S + 0.7)
+            await node.upstream.call_node("DELETE")
+            await node.upstream.stop()
+            await node.upstream.start()
 
     async def weaken_upstream(self, node, for_s):
         upstream = node.upstream
--- a/testsuite/soak/standins.py
+++ b/testsuite/soak/standins.py
@@ -77,7 +77,11 @@
             await asyncio.sleep(30)
         if fault == "slow":
             await asyncio.sleep(1)
-        body = await request.read()
+        try:
+            body = await request.read()
+        except ConnectionResetError:
+            # A proxy has reset the connection; nobody takes an answer.
+            return web.Response(status=400)
         answer = await self.answer(request, body)
         if fault == "lossy" and request.transport:
             request.transport.abort()
