Entries of hosts that are gone for good are removed

Change: relays share the hosts of their zone and probe one every ten seconds; an entry is removed if its host has not answered for ten minutes and three probes, under the condition that it has not changed. A host that lives writes it again.

--- a/src/include/pollenhall/mesh/store_mirror.hpp
+++ b/src/include/pollenhall/mesh/store_mirror.hpp
@@ -58,6 +58,8 @@
     [[nodiscard]] store_revision at() const { return at_; }
     /// Value of a key; null if it does not exist.
     [[nodiscard]] std::string const* find(std::string const& key) const;
+    /// Revision of its last change; none if the key is not known.
+    [[nodiscard]] store_revision revision_of(std::string const& key) const;
 
 private:
     struct entry
--- a/src/include/pollenhall/mesh/store_relays.hpp
+++ b/src/include/pollenhall/mesh/store_relays.hpp
@@ -36,7 +36,7 @@
 public:
     explicit store_relays(store_relay_options options);
 
-    /// Replaces the hosts that are known.
+    /// Replaces the hosts that are known, those that take no work included.
     void set_hosts(std::vector<host_entry> const& hosts);
     /// The peer to ask next; empty if the node asks the store itself. Turns
     /// from relay to relay, so that one that has fallen silent holds news up
@@ -44,6 +44,9 @@
     [[nodiscard]] std::optional<host_address> choose(mono_time now);
     /// Whether the node is one of the relays while all of them are reached.
     [[nodiscard]] bool is_first_choice() const;
+    /// The hosts of the zone that this node looks after; none unless it is a
+    /// relay.
+    [[nodiscard]] std::vector<host_address> looked_after() const;
     void on_answer(host_address const& relay);
     void on_failure(host_address const& relay, mono_time now);
 
@@ -60,8 +63,11 @@
     [[nodiscard]] candidate* find(host_address const& host);
 
     store_relay_options options_;
-    // Hosts of the own zone, this one included, in the order of the fleet.
+    // Hosts of the own zone that take work, and this one, in the order of the
+    // fleet.
     std::vector<candidate> candidates_;
+    // All other hosts of the zone.
+    std::vector<host_address> zone_;
     std::size_t turn_ = 0;
 };
 
--- a/src/libpollenhall_mesh/store_mirror.cpp
+++ b/src/libpollenhall_mesh/store_mirror.cpp
@@ -97,4 +97,10 @@
                : &*found->second.value;
 }
 
+store_revision store_mirror::revision_of(std::string const& key) const
+{
+    auto const found = entries_.find(key);
+    return found == entries_.end() ? store_revision() : found->second.revision;
+}
+
 } // namespace pollenhall::mesh
--- a/src/libpollenhall_mesh/store_relays.cpp
+++ b/src/libpollenhall_mesh/store_relays.cpp
@@ -28,6 +28,10 @@
                 ? *known
                 : candidate{.host = host, .order = hash_text(host.value())});
     };
+    zone_.clear();
+    for (auto const& entry : hosts)
+        if (entry.zone == options_.own_zone && entry.host != options_.own_host)
+            zone_.push_back(entry.host);
     for (auto const& entry : hosts)
         // A host whose upstream takes no work may be about to stop.
         if (entry.zone == options_.own_zone && entry.ready &&
@@ -63,6 +67,23 @@
     return relays[turn_++ % relays.size()]->host;
 }
 
+std::vector<host_address> store_relays::looked_after() const
+{
+    std::vector<host_address> own_share;
+    if (!is_first_choice())
+        return own_share;
+    auto const relays = std::min(relay_count(), candidates_.size());
+    auto const own = static_cast<std::size_t>(
+        std::find_if(candidates_.begin(), candidates_.end(),
+                     [&](auto const& item)
+                     { return item.host == options_.own_host; }) -
+        candidates_.begin());
+    for (auto const& host : zone_)
+        if (hash_text(host.value()) % relays == own)
+            own_share.push_back(host);
+    return own_share;
+}
+
 bool store_relays::is_first_choice() const
 {
     auto const own = std::find_if(candidates_.begin(), candidates_.end(),
--- a/src/libpollenhall_mesh/store_relays_test.cpp
+++ b/src/libpollenhall_mesh/store_relays_test.cpp
@@ -80,6 +80,19 @@
     }
 }
 
+TEST_CASE("each host of a zone is looked after by one relay")
+{
+    auto const hosts = zone_of(20);
+    std::multiset<host_address> looked_after;
+    for (int i = 0; i < 20; ++i)
+        for (auto const& host : relays_of(hosts, i).looked_after())
+            looked_after.insert(host);
+    // Relays don't look after themselves, so up to two are missing.
+    CHECK(looked_after.size() >= 18);
+    CHECK(std::set(looked_after.begin(), looked_after.end()).size() ==
+          looked_after.size());
+}
+
 TEST_CASE("a node whose relays fail")
 {
     auto const hosts = zone_of(20);
--- a/src/pollenhall_sidecar/control_node.cpp
+++ b/src/pollenhall_sidecar/control_node.cpp
@@ -53,6 +53,7 @@
       context_(context), timers_(context), random_(std::random_device{}()),
       boot_(wall_now().time_since_epoch().count()), feed_out_(timers_, mirror_),
       relays_({.own_zone = options_.zone, .own_host = options_.host}),
+      vanished_(options_.vanished),
       registration_(options_.service,
                     options_.upstream.address().to_string() + ":" +
                         std::to_string(options_.upstream.port()))
@@ -63,6 +64,8 @@
 {
     read_store();
     timers_.after(peer_interval, [this] { ask_some_peer(); });
+    timers_.after(options_.vanished.probe_interval,
+                  [this] { probe_next_host(); });
 }
 
 void control_node::stop()
@@ -567,6 +570,45 @@
                  .on_end = on_end});
 }
 
+void control_node::probe_next_host()
+{
+    if (stopping_)
+        return;
+    timers_.after(options_.vanished.probe_interval,
+                  [this] { probe_next_host(); });
+    // Without news it may be this node that is cut off.
+    auto const host = hearing_
+                          ? vanished_.next(relays_.looked_after(), mono_now())
+                          : std::nullopt;
+    if (!host)
+        return;
+    request_changes(*host, milliseconds{0},
+                    [this, host = *host](exchange_result const& result)
+                    {
+                        bool const answered =
+                            result.end == exchange_end::answered;
+                        if (vanished_.on_probe(host, answered, mono_now()))
+                            remove_entry(host);
+                    });
+}
+
+void control_node::remove_entry(mesh::host_address const& host)
+{
+    auto const key = layout_.hosts_prefix + host.value();
+    store_.remove(key, mirror_.revision_of(key),
+                  [host](absl::StatusOr<store_revision> const& removed)
+                  {
+                      // A host that lives writes its entry again; an entry
+                      // that is not removed is probed again.
+                      log_event("host_entry_removed", log_level::warning)
+                          .add("host", host.value())
+                          .add("revision", removed.ok() ? removed->value()
+                                                        : std::int64_t{0})
+                          .add("error",
+                               std::string(removed.status().message()));
+                  });
+}
+
 bool control_node::take_changes(mesh::host_address const& host,
                                 exchange_result const& result)
 {
--- a/src/pollenhall_sidecar/control_node.hpp
+++ b/src/pollenhall_sidecar/control_node.hpp
@@ -99,6 +99,9 @@
     void
     request_changes(mesh::host_address const& host, milliseconds wait,
                     std::function<void(exchange_result const&)> const& on_end);
+    // Removes entries of hosts that are gone for good, one probe at a time.
+    void probe_next_host();
+    void remove_entry(mesh::host_address const& host);
     // Takes a peer's answer in; false if it is none, or if the peer itself
     // hears nothing of the store.
     bool take_changes(mesh::host_address const& host,
@@ -120,6 +123,7 @@
     mesh::store_mirror mirror_;
     change_feed feed_out_;
     mesh::store_relays relays_;
+    mesh::vanished_hosts vanished_;
     std::shared_ptr<mesh::route_table const> routes_;
     std::map<mesh::host_address, mesh::host_entry> hosts_;
     mesh::upstream_registration registration_;
--- a/src/pollenhall_sidecar/node_options.hpp
+++ b/src/pollenhall_sidecar/node_options.hpp
@@ -5,6 +5,7 @@
 #include <pollenhall/mesh/attempt_policy.hpp>
 #include <pollenhall/mesh/header_names.hpp>
 #include <pollenhall/mesh/placement.hpp>
+#include <pollenhall/mesh/vanished_hosts.hpp>
 
 #include <asio/ip/tcp.hpp>
 
@@ -56,6 +57,7 @@
     /// Time from the request to stop until the process is killed.
     milliseconds stop_grace{6'000};
     store_watch_options watch{};
+    mesh::vanished_host_options vanished{};
 
     bool operator==(node_options const&) const = default;
 };
