--- a/src/libpollenhall/log_walk.cpp
+++ b/src/libpollenhall/log_walk.cpp
@@ -81,7 +81,8 @@
 
 log_line parse_log_line(std::string source, std::string text)
 {
-    log_line line{.source = std::move(source), .text = std::move(text)};
+    log_line line{
+        .source = std::move(source), .text = std::move(text), .fields = {}};
     std::string_view rest = line.text;
     while (!rest.empty())
     {
--- a/src/libpollenhall_mesh/upstream_load.cpp
+++ b/src/libpollenhall_mesh/upstream_load.cpp
@@ -1,6 +1,7 @@
 // Written form of an upstream's load.
 
 #include <pollenhall/mesh/upstream_load.hpp>
+#include <pollenhall/mesh/word_reader.hpp>
 
 #include <algorithm>
 #include <array>
@@ -20,11 +21,14 @@
 
 std::optional<upstream_load> parse_load(std::string_view text)
 {
+    word_reader in(text);
     upstream_load load;
-    std::string const copy(text);
-    if (std::sscanf(copy.c_str(), "%d %d %d %lf %lf", // NOLINT(cert-err34-c)
-                    &load.limit, &load.running, &load.queued,
-                    &load.failing_share, &load.service_ms) != 5)
+    load.limit = in.number<int>();
+    load.running = in.number<int>();
+    load.queued = in.number<int>();
+    load.failing_share = in.number<double>();
+    load.service_ms = in.number<double>();
+    if (!in.ok())
         return std::nullopt;
     if (load.limit < 1 || load.running < 0 || load.queued < 0 ||
         !(load.failing_share >= 0) || !(load.service_ms >= 0))
--- a/src/pollenhall_sidecar/call.cpp
+++ b/src/pollenhall_sidecar/call.cpp
@@ -4,9 +4,9 @@
 #include "call.hpp"
 
 #include <pollenhall/hashing.hpp>
+#include <pollenhall/mesh/word_reader.hpp>
 
 #include <algorithm>
-#include <sstream>
 
 namespace pollenhall::sidecar
 {
@@ -50,24 +50,17 @@
 
 std::optional<call_terms> parse_terms(std::string_view text)
 {
-    std::istringstream in{std::string(text)};
-    std::string service;
-    std::string expected;
-    std::string idempotent;
-    std::string repeat;
-    std::int64_t objective = 0;
-    std::int64_t version = 0;
+    mesh::word_reader in(text);
     call_terms terms;
-    if (!(in >> service >> expected >> idempotent >> terms.rank.level >>
-          terms.rank.cohort >> objective >> repeat >> version))
-        return std::nullopt;
-    terms.service = service_name(service);
-    terms.expected = mesh::incarnation_id(expected);
-    terms.idempotent = idempotent == "i";
-    terms.objective = milliseconds(objective);
-    terms.is_repeat = repeat == "r";
-    terms.version = mesh::config_version(version);
-    return terms;
+    terms.service = service_name(std::string(in.word()));
+    terms.expected = mesh::incarnation_id(std::string(in.word()));
+    terms.idempotent = in.word() == "i";
+    terms.rank.level = in.number<int>();
+    terms.rank.cohort = in.number<int>();
+    terms.objective = milliseconds(in.number<std::int64_t>());
+    terms.is_repeat = in.word() == "r";
+    terms.version = mesh::config_version(in.number<std::int64_t>());
+    return in.ok() ? std::optional(terms) : std::nullopt;
 }
 
 std::string write_report(gate_report const& report)
@@ -81,24 +74,17 @@
 
 std::optional<gate_report> parse_report(std::string_view text)
 {
-    std::istringstream in{std::string(text)};
-    std::string end;
-    gate_report report;
-    std::int64_t retry_after = 0;
-    std::int64_t version = 0;
-    if (!(in >> end >> report.reason >> report.gate_not_ready >> retry_after >>
-          version))
-        return std::nullopt;
-    std::string load;
-    std::getline(in, load);
-    auto const parsed_end = parse_end(end);
-    auto const parsed_load = mesh::parse_load(load);
-    if (!parsed_end || !parsed_load)
+    mesh::word_reader in(text);
+    auto const end = parse_end(in.word());
+    gate_report report{.reason = std::string(in.word())};
+    report.gate_not_ready = in.word() == "1";
+    report.retry_after = milliseconds(in.number<std::int64_t>());
+    report.version = mesh::config_version(in.number<std::int64_t>());
+    auto const load = mesh::parse_load(in.rest());
+    if (!in.ok() || !end || !load)
         return std::nullopt;
-    report.end = *parsed_end;
-    report.retry_after = milliseconds(retry_after);
-    report.version = mesh::config_version(version);
-    report.load = *parsed_load;
+    report.end = *end;
+    report.load = *load;
     return report;
 }
 
--- a/src/pollenhall_sidecar/server_connection.cpp
+++ b/src/pollenhall_sidecar/server_connection.cpp
@@ -51,14 +51,34 @@
 
 void server_connection::watch_idle()
 {
-    timers_.cancel(timeout_);
-    timeout_ =
-        timers_.after(limits_.idle_timeout,
-                      [weak = weak_from_this()]
-                      {
-                          if (auto self = weak.lock(); self && self->is_idle())
-                              self->close();
-                      });
+    idle_since_ = mono_now();
+    if (!idle_check_)
+        check_idle_at(idle_since_ + limits_.idle_timeout);
+}
+
+void server_connection::check_idle_at(mono_time time)
+{
+    // One timer serves many requests; it looks again when it has come too
+    // soon.
+    idle_check_ = timers_.at(time,
+                             [weak = weak_from_this()]
+                             {
+                                 if (auto self = weak.lock())
+                                     self->check_idle();
+                             });
+}
+
+void server_connection::check_idle()
+{
+    idle_check_.reset();
+    if (closed_ || lingering_)
+        return;
+    auto const now = mono_now();
+    if (!is_idle())
+        return check_idle_at(now + limits_.idle_timeout);
+    if (now - idle_since_ >= limits_.idle_timeout)
+        return close();
+    check_idle_at(idle_since_ + limits_.idle_timeout);
 }
 
 void server_connection::read()
@@ -248,6 +268,8 @@
     closed_ = true;
     held_.set(0);
     timers_.cancel(timeout_);
+    if (idle_check_)
+        timers_.cancel(*idle_check_);
     std::error_code error;
     // The connection is over in any case; there is nothing to do on error.
     socket_.close(error);
--- a/src/pollenhall_sidecar/server_connection.hpp
+++ b/src/pollenhall_sidecar/server_connection.hpp
@@ -11,6 +11,7 @@
 #include <array>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include <asio/ip/tcp.hpp>
@@ -96,6 +97,8 @@
     void linger();
     void close();
     void watch_idle();
+    void check_idle_at(mono_time time);
+    void check_idle();
 
     asio::ip::tcp::socket socket_;
     deadline_timers& timers_;
@@ -113,6 +116,9 @@
     std::size_t written_ = 0;
     std::function<void()> on_abandoned_;
     deadline_timers::handle timeout_;
+    // When the last request was answered, or the connection began.
+    mono_time idle_since_{};
+    std::optional<deadline_timers::handle> idle_check_;
     bool reading_ = false;
     bool serving_ = false;
     bool writing_ = false;
--- a/src/pollenhall_sidecar/sidecar_test.cpp
+++ b/src/pollenhall_sidecar/sidecar_test.cpp
@@ -500,6 +500,36 @@
     }
 }
 
+TEST_CASE("a connection of a caller that stays idle")
+{
+    two_nodes nodes;
+    nodes.know_only(0);
+    mesh::configuration config{.routes = {make_route("/read/", true)}};
+    config.limits.idle_timeout = milliseconds{300};
+    nodes.first.set_routes(
+        std::make_shared<mesh::route_table const>(std::move(config)));
+    // The limits hold from the next connection or request on.
+    CHECK(nodes.call("GET", "/read/a").response.status == 200);
+    CHECK(nodes.call("GET", "/read/b").response.status == 200);
+    auto const opened = nodes.caller->opened();
+    CHECK(opened == 1);
+
+    SUBCASE("is kept for the time that the operator has set")
+    {
+        nodes.run_for(milliseconds(200));
+        CHECK(nodes.call("GET", "/read/c").response.status == 200);
+        nodes.run_for(milliseconds(200));
+        CHECK(nodes.call("GET", "/read/d").response.status == 200);
+        CHECK(nodes.caller->opened() == opened);
+    }
+    SUBCASE("is closed after it")
+    {
+        nodes.run_for(milliseconds(700));
+        CHECK(nodes.call("GET", "/read/c").response.status == 200);
+        CHECK(nodes.caller->opened() == opened + 1);
+    }
+}
+
 TEST_CASE("a node that holds as much as it may")
 {
     two_nodes nodes;
