--- a/src/pollenhall_sidecar/control_node.cpp
+++ b/src/pollenhall_sidecar/control_node.cpp
@@ -179,9 +179,11 @@
     if (hearing_ == hearing)
         return;
     hearing_ = hearing;
-    log_event(hearing ? "store_news_regained" : "store_news_lost",
-              hearing ? log_level::info : log_level::warning)
-        .add("revision", mirror_.at().value());
+    if (hearing)
+        log_event("store_news_regained").add("revision", mirror_.at().value());
+    else
+        log_event("store_news_lost", log_level::warning)
+            .add("revision", mirror_.at().value());
     feed_out_.set_current(hearing && !stopping_);
     if (!hearing)
         timers_.after(peer_interval, [this] { ask_some_peer(); });
