--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -65,12 +65,14 @@
         return self.base_port + offset
 
     def ports_free(self):
-        for offset in range(10):
-            with socket.socket() as probe:
-                try:
-                    probe.bind(("127.0.0.1", self.base_port + offset))
-                except OSError:
-                    return False
+        """Also where another run on this machine uses the same addresses."""
+        for host in ("127.0.0.1", "127.1.0.1", "127.2.0.1", "127.3.0.1"):
+            for offset in range(10):
+                with socket.socket() as probe:
+                    try:
+                        probe.bind((host, self.base_port + offset))
+                    except OSError:
+                        return False
         return True
 
     def configure(self):
