--- a/src/pollenhall_sidecar/control_node.hpp
+++ b/src/pollenhall_sidecar/control_node.hpp
@@ -95,6 +95,7 @@
     void check_upstream_health();
     void ask_peer(mesh::host_address const& host);
     void ask_some_peer();
+    void ask_some_peer_later();
     // Asks a peer for what changed after what is known.
     void
     request_changes(mesh::host_address const& host, milliseconds wait,
