--- a/testsuite/soak/fleet.py
+++ b/testsuite/soak/fleet.py
@@ -13,6 +13,8 @@
 PROGRAM = ROOT / "build" / "platform" / "pollenhall-sidecar"
 # Delay before the platform restarts a process that has exited.
 RESTART_DELAY_S = 0.3
+# Delay before a crashed upstream is back.
+UPSTREAM_RESTART_DELAY_S = 1.5
 STOP_GRACE_S = 6
 
 OUTBOUND, INBOUND, READINESS, CONTROL, PEERS, UPSTREAM = range(6)
@@ -47,6 +49,9 @@
         self.start_count = 0
         # Held while a fault stops and restarts the upstream.
         self.upstream_lock = asyncio.Lock()
+        self.crash_task = None
+        # Called when a request crashes the upstream.
+        self.on_upstream_crash = None
 
     def proxies(self):
         return (self.inbound_proxy, self.upstream_proxy, self.store_proxy)
@@ -80,6 +85,24 @@
                     f"{self.process.returncode}")
             await asyncio.sleep(RESTART_DELAY_S)
 
+    def crash_upstream(self):
+        """Ends the upstream as if it had crashed, and starts it again."""
+        if self.crash_task and not self.crash_task.done():
+            return
+        self.fleet.record.crashes.append((time.monotonic(), self.upstream.id))
+        # The port refuses connections at once, as after the end of a process.
+        self.upstream_proxy.stop_now()
+        if self.on_upstream_crash:
+            self.on_upstream_crash(self)
+        self.crash_task = asyncio.create_task(self.restart_upstream())
+
+    async def restart_upstream(self):
+        async with self.upstream_lock:
+            await self.upstream.stop()
+            await asyncio.sleep(UPSTREAM_RESTART_DELAY_S)
+            await self.upstream.start()
+            await self.upstream_proxy.start()
+
     def send_signal(self, signal_number):
         if self.process.returncode is None:
             self.process.send_signal(signal_number)
@@ -105,6 +128,8 @@
             self.process.send_signal(signal.SIGCONT)
             self.process.kill()
             await self.process.wait()
+        if self.crash_task:
+            await self.crash_task
         await self.upstream.stop()
         for proxy in self.proxies():
             await proxy.stop()
--- a/testsuite/soak/proxy.py
+++ b/testsuite/soak/proxy.py
@@ -27,6 +27,10 @@
                                                  self.port)
 
     async def stop(self):
+        self.stop_now()
+
+    def stop_now(self):
+        """Refuses new connections and resets the open ones."""
         self.server.close()
         self.reset_all()
 
--- a/testsuite/soak/standins.py
+++ b/testsuite/soak/standins.py
@@ -151,6 +151,8 @@
     def __init__(self):
         # Request id to (time, method) of each execution.
         self.runs = {}
+        # (time, upstream id) of each request that crashed its upstream.
+        self.crashes = []
         # (time, service, id) of each arrival.
         self.arrivals = []
         # (time, service) of each request that was sent to a service.
@@ -184,6 +186,10 @@
         self.refuse_share = 0.0
         self.fail_share = 0.0
         self.lose_share = 0.0
+        # Requests with this text in their path crash the upstream after
+        # `crash_after_s`; empty for none.
+        self.crash_on = ""
+        self.crash_after_s = 0.0
         self.draining_since = None
         self.tasks = []
 
@@ -282,11 +288,17 @@
             self.running -= 1
 
     async def run(self, request, request_id, body, echo):
+        if self.crash_on and self.crash_on in request.path:
+            await asyncio.sleep(self.crash_after_s)
+            self.node.crash_upstream()
+            # The crash ends the connection, so there is no response.
+            await asyncio.sleep(MAX_WORK_S)
         await asyncio.sleep(min(self.work_s, MAX_WORK_S))
         remaining_ms = int(request.headers["Deadline-Ms"])
         for number in range(int(request.query.get("calls", 0))):
-            if not await self.call_leaf(f"{request_id}.{number}",
-                                        remaining_ms):
+            if not await self.call_leaf(
+                    f"{request_id}.{number}", remaining_ms,
+                    request.query.get("leaf_path", "/leaf/inner")):
                 return web.Response(status=500, headers=echo | {
                     "Upstream-Signature": signature_of(request_id, b"")})
         if self.random.random() < self.lose_share and request.transport:
@@ -298,12 +310,12 @@
             headers=echo | {"Upstream-Signature":
                             signature_of(request_id, text)})
 
-    async def call_leaf(self, request_id, remaining_ms):
+    async def call_leaf(self, request_id, remaining_ms, path):
         # Nested calls count as sent when the retry budget is checked.
         self.record.sent.append((time.monotonic(), "leaf"))
         try:
             async with self.session.get(
-                    f"http://{self.node.outbound}/leaf/inner",
+                    f"http://{self.node.outbound}{path}",
                     headers={"Host": "soak.example",
                              "Request-Id": request_id,
                              "Deadline-Ms": str(min(remaining_ms, 700))},
