--- a/src/include/pollenhall/mesh/attempt_policy.hpp
+++ b/src/include/pollenhall/mesh/attempt_policy.hpp
@@ -29,7 +29,10 @@
     /// The call may have run, but there is no response.
     unknown,
     /// The deadline has passed.
-    timed_out
+    timed_out,
+    /// The gate rejected the request because it crashes upstreams; no upstream
+    /// received it, and none may.
+    quarantined
 };
 
 std::string_view to_string(attempt_end end);
--- a/src/include/pollenhall/mesh/placement.hpp
+++ b/src/include/pollenhall/mesh/placement.hpp
@@ -12,6 +12,7 @@
 #include <pollenhall/mesh/upstream_load.hpp>
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -21,6 +22,23 @@
 /// Address of a host, without a port.
 using host_address = strong_value<struct host_address_tag, std::string>;
 
+/// A crash suspicion in a host entry. Entries outlast the process that wrote
+/// them, so that the time is absolute.
+struct published_suspicion
+{
+    fingerprint content;
+    crash_id crash;
+    bool confirmed = true;
+    wall_time expires{};
+
+    bool operator==(published_suspicion const&) const = default;
+};
+
+/// Returns the id of the crash that ends one start of the upstream on a host.
+crash_id crash_id_of(host_address const& host,
+                     incarnation_id const& incarnation,
+                     std::optional<wall_time> started);
+
 /// Data about another host, from its entry in the store.
 struct host_entry
 {
@@ -30,6 +48,8 @@
     zone_name zone;
     service_name service;
     incarnation_id incarnation;
+    // Start time of the upstream by its own clock; empty if not reported.
+    std::optional<wall_time> started{};
     int slots = 0;
     // Whether its upstream accepts new work.
     bool ready = false;
@@ -38,8 +58,8 @@
     milliseconds cold_remaining{0};
     // Identifies the start of the node that wrote the entry.
     boot_id boot;
-    // Requests that were running at its upstream when it crashed.
-    std::vector<crash_suspicion> suspicions;
+    // Crash suspicions that this host publishes, also those heard from others.
+    std::vector<published_suspicion> suspicions;
 
     bool operator==(host_entry const&) const = default;
 };
--- a/src/include/pollenhall/mesh/registration.hpp
+++ b/src/include/pollenhall/mesh/registration.hpp
@@ -83,8 +83,10 @@
     /// changed.
     bool on_leave(incarnation_id const& incarnation, mono_time now);
     /// Registers the incarnation that a health check has found, if there was no
-    /// heartbeat before. Returns whether the state changed.
-    bool on_health_check(incarnation_id const& incarnation, int slots,
+    /// heartbeat before. `started` is empty if it is not known. Returns whether
+    /// the state changed.
+    bool on_health_check(incarnation_id const& incarnation,
+                         std::optional<wall_time> started, int slots,
                          mono_time now);
 
     /// The registered upstream; empty before the first heartbeat, health check
--- a/src/libpollenhall/crash_guard_test.cpp
+++ b/src/libpollenhall/crash_guard_test.cpp
@@ -7,6 +7,7 @@
 #include <doctest/doctest.h>
 
 #include <array>
+#include <vector>
 
 TEST_CASE("a request that was running at a crash")
 {
@@ -28,7 +29,7 @@
 
         SUBCASE("for a bounded time")
         {
-            CHECK_FALSE(guard.refuses(poison, 3, now + seconds{61}));
+            CHECK_FALSE(guard.refuses(poison, 3, now + seconds{601}));
         }
     }
     SUBCASE("is refused on each node that received the suspicions")
@@ -37,7 +38,7 @@
         other_guard.add(suspicions.front(), now);
         other_guard.add({.content = poison,
                          .crash = crash_id(11),
-                         .time_left = seconds{60}},
+                         .time_left = seconds{600}},
                         now);
         CHECK(other_guard.refuses(poison, 3, now));
     }
@@ -52,10 +53,47 @@
     }
     SUBCASE("a request that completed is not suspected")
     {
-        guard.on_completed(harmless);
+        guard.on_completed(harmless, now);
         guard.on_crash(crash_id(11), in_flight, now);
         guard.on_crash(crash_id(12), in_flight, now);
         CHECK_FALSE(guard.refuses(harmless, 3, now));
         CHECK(guard.refuses(poison, 3, now));
     }
+    SUBCASE("stays suspected for the whole lifetime of a suspicion")
+    {
+        guard.on_crash(crash_id(11), std::array{poison}, now);
+        CHECK(guard.refuses(poison, 3, now + seconds{599}));
+    }
+    SUBCASE("is suspected if its last completion is long ago")
+    {
+        guard.on_completed(poison, now);
+        auto const later = now + seconds{11};
+        guard.on_crash(crash_id(11), std::array{poison}, later);
+        guard.on_crash(crash_id(12), std::array{poison}, later);
+        CHECK(guard.refuses(poison, 3, later));
+    }
+    SUBCASE("is among the suspects of a second crash with many requests")
+    {
+        std::vector<fingerprint> many;
+        for (std::uint64_t i = 100; i < 300; ++i)
+            many.emplace_back(i);
+        many.push_back(poison);
+        guard.on_crash(crash_id(11), many, now);
+        CHECK(guard.refuses(poison, 3, now));
+    }
+    SUBCASE("is refused after three crashes of which only one is confirmed")
+    {
+        guard.on_crash(crash_id(11), std::array{poison}, now, false);
+        CHECK_FALSE(guard.refuses(poison, 3, now));
+        guard.on_crash(crash_id(12), std::array{poison}, now, false);
+        CHECK(guard.refuses(poison, 3, now));
+    }
+    SUBCASE("a possible crash that is confirmed later counts once")
+    {
+        crash_guard other_guard;
+        other_guard.on_crash(crash_id(10), std::array{poison}, now, false);
+        CHECK(other_guard.add(suspicions.front(), now));
+        CHECK_FALSE(other_guard.add(suspicions.front(), now));
+        CHECK_FALSE(other_guard.refuses(poison, 3, now));
+    }
 }
--- a/src/libpollenhall_mesh/attempt_policy.cpp
+++ b/src/libpollenhall_mesh/attempt_policy.cpp
@@ -21,8 +21,9 @@
 
 std::string_view to_string(attempt_end end)
 {
-    constexpr std::array<std::string_view, 6> names{
-        "answered", "failed", "not_offered", "not_run", "unknown", "timed_out"};
+    constexpr std::array<std::string_view, 7> names{
+        "answered", "failed",    "not_offered", "not_run",
+        "unknown",  "timed_out", "quarantined"};
     return names.at(static_cast<std::size_t>(end));
 }
 
@@ -158,6 +159,8 @@
     case attempt_end::not_run:
         ++rejections_;
         break;
+    case attempt_end::quarantined:
+        break;
     case attempt_end::answered:
         ++runs_;
         break;
@@ -178,6 +181,7 @@
     {
     case attempt_end::answered:
     case attempt_end::timed_out:
+    case attempt_end::quarantined:
         return false;
     case attempt_end::not_offered:
         return has_alternative && unsent_ < limits_.max_unsent;
--- a/src/libpollenhall_mesh/placement.cpp
+++ b/src/libpollenhall_mesh/placement.cpp
@@ -1,6 +1,7 @@
 // Computes the cost of upstreams from utilisation, zone, service time and
 // failures, and chooses the lowest.
 
+#include <pollenhall/hashing.hpp>
 #include <pollenhall/mesh/placement.hpp>
 
 #include <algorithm>
@@ -17,6 +18,19 @@
 
 } // namespace
 
+crash_id crash_id_of(host_address const& host,
+                     incarnation_id const& incarnation,
+                     std::optional<wall_time> started)
+{
+    auto const start_ms = std::chrono::duration_cast<milliseconds>(
+                              started.value_or(wall_time{}).time_since_epoch())
+                              .count();
+    return crash_id(
+        combine_hashes(hash_text(host.value()),
+                       combine_hashes(hash_text(incarnation.value()),
+                                      static_cast<std::uint64_t>(start_ms))));
+}
+
 placement::placement(placement_options options) : options_(std::move(options))
 {
 }
--- a/src/libpollenhall_mesh/registration.cpp
+++ b/src/libpollenhall_mesh/registration.cpp
@@ -69,6 +69,7 @@
 }
 
 bool upstream_registration::on_health_check(incarnation_id const& incarnation,
+                                            std::optional<wall_time> started,
                                             int slots, mono_time now)
 {
     if (current_)
@@ -76,6 +77,7 @@
     current_ = registered_upstream{.last = {.incarnation = incarnation,
                                             .service = service_,
                                             .address = address_,
+                                            .started = started,
                                             .slots = slots},
                                    .last_contact = now};
     // Lower than the sequence number of any heartbeat.
--- a/src/libpollenhall_mesh/registration_test.cpp
+++ b/src/libpollenhall_mesh/registration_test.cpp
@@ -101,12 +101,14 @@
 {
     upstream_registration registration(service_name("orders"), "127.0.0.1:80");
     constexpr mono_time now{seconds{1}};
-    CHECK(registration.on_health_check(incarnation_id("a"), 12, now));
+    CHECK(registration.on_health_check(incarnation_id("a"), std::nullopt, 12,
+                                       now));
     CHECK(registration.current()->last.slots == 12);
     CHECK(is_accepted(
         registration.on_heartbeat(make_heartbeat("a", 100, 0, true), now)));
     CHECK_FALSE(registration.current()->accepts_work());
-    CHECK_FALSE(registration.on_health_check(incarnation_id("a"), 12, now));
+    CHECK_FALSE(registration.on_health_check(incarnation_id("a"), std::nullopt,
+                                             12, now));
 }
 
 TEST_CASE(
--- a/src/pollenhall_sidecar/call.cpp
+++ b/src/pollenhall_sidecar/call.cpp
@@ -28,8 +28,8 @@
 std::optional<mesh::attempt_end> parse_attempt_end(std::string_view name)
 {
     using enum mesh::attempt_end;
-    for (auto const end :
-         {answered, failed, not_offered, not_run, unknown, timed_out})
+    for (auto const end : {answered, failed, not_offered, not_run, unknown,
+                           timed_out, quarantined})
         if (mesh::to_string(end) == name)
             return end;
     return std::nullopt;
@@ -91,13 +91,11 @@
     return report;
 }
 
-fingerprint fingerprint_of(mesh::http_request const& request,
-                           mesh::header_names const& names)
+fingerprint fingerprint_of(mesh::http_request const& request)
 {
     auto hash = hash_text(request.method + " " + request.target);
-    for (auto const* name : {"Host", names.caller_service.c_str()})
-        if (auto const* value = request.fields.find(name))
-            hash = combine_hashes(hash, hash_text(*value));
+    if (auto const* host = request.fields.find("Host"))
+        hash = combine_hashes(hash, hash_text(*host));
     return fingerprint(combine_hashes(hash, hash_text(request.body)));
 }
 
--- a/src/pollenhall_sidecar/call.hpp
+++ b/src/pollenhall_sidecar/call.hpp
@@ -62,6 +62,12 @@
     milliseconds retry_after{0};
 };
 
+/// Reason code of an attempt that ended because the upstream crashed.
+inline constexpr std::string_view upstream_crashed_reason = "upstream_crashed";
+/// Retry-After delay of a quarantined request: the longest time that a caller
+/// waits for a response.
+inline constexpr milliseconds quarantine_retry_after{5'000};
+
 using attempt_handler = std::function<void(attempt_result)>;
 
 /// Header field that carries the call metadata in requests between nodes.
@@ -89,9 +95,9 @@
 std::optional<gate_report> parse_gate_report(std::string_view text);
 
 /// Returns a fingerprint of the request's content. It does not depend on the
-/// request id or the node, so a retry has the same fingerprint everywhere.
-fingerprint fingerprint_of(mesh::http_request const& request,
-                           mesh::header_names const& names);
+/// request id, nor on the node or the caller that sends it, so that a request
+/// that is sent again has the same fingerprint everywhere.
+fingerprint fingerprint_of(mesh::http_request const& request);
 
 /// Returns the time until `deadline` in whole milliseconds, at least zero.
 milliseconds time_left(mono_time deadline, mono_time now);
--- a/src/pollenhall_sidecar/change_feed.cpp
+++ b/src/pollenhall_sidecar/change_feed.cpp
@@ -20,8 +20,8 @@
 // Longer than peers keep idle connections open, so that the client closes
 // first.
 constexpr milliseconds peer_idle_timeout{30'000};
-// Requests for changes have no body.
-constexpr std::size_t max_request_bytes = 4'096;
+// Requests for changes have no body; suspicions have about 60 bytes each.
+constexpr std::size_t max_request_bytes = 16'384;
 // Upper bound of the wait that a peer may request.
 constexpr std::int64_t max_wait_ms = 5'000;
 
--- a/src/pollenhall_sidecar/client_connection.cpp
+++ b/src/pollenhall_sidecar/client_connection.cpp
@@ -83,13 +83,18 @@
             if (self->closed_)
                 return;
             if (failed)
-                return self->finish({.end = exchange_end::not_connected,
-                                     .detail = failed.message()},
-                                    false);
+                return self->finish(
+                    {.end = exchange_end::not_connected,
+                     .detail = failed.message(),
+                     .refused = failed == asio::error::connection_refused},
+                    false);
             self->connected_ = true;
             std::error_code ignored; // asynchronous operations do not need it
             self->socket_.non_blocking(true, ignored);
-            self->send();
+            if (!self->request_.connect_only)
+                return self->send();
+            self->finish({.end = exchange_end::answered}, true);
+            self->read();
         });
 }
 
--- a/src/pollenhall_sidecar/client_pool.cpp
+++ b/src/pollenhall_sidecar/client_pool.cpp
@@ -55,6 +55,31 @@
     return connection;
 }
 
+void client_pool::probe(milliseconds timeout,
+                        std::function<void(probe_result)> on_end)
+{
+    ++connections_opened_;
+    auto const connection = std::make_shared<client_connection>(
+        context_, timers_, weak_from_this(), options_);
+    connection->start_exchange(
+        {.connect_only = true,
+         .deadline = mono_now() + timeout,
+         .on_end = [on_end = std::move(on_end)](exchange_result const& result)
+         {
+             on_end(result.end == exchange_end::answered
+                        ? probe_result::connected
+                    : result.refused ? probe_result::refused
+                                     : probe_result::silent);
+         }});
+    connection->connect(address_);
+}
+
+bool client_pool::has_idle_connection() const
+{
+    return std::any_of(idle_.begin(), idle_.end(),
+                       [](auto const& item) { return !item->is_closed(); });
+}
+
 void client_pool::cancel(std::shared_ptr<client_connection> const& exchange)
 {
     if (exchange)
--- a/src/pollenhall_sidecar/client_pool.hpp
+++ b/src/pollenhall_sidecar/client_pool.hpp
@@ -40,6 +40,8 @@
     mesh::http_response response{};
     // Error description for logs.
     std::string detail{};
+    // Whether nothing listens at the address; only for `not_connected`.
+    bool refused = false;
 };
 
 /// An HTTP request with its deadline and handlers.
@@ -47,6 +49,8 @@
 {
     // Serialized by `write_request`.
     std::string bytes;
+    // Ends the exchange once the connection is established; nothing is sent.
+    bool connect_only = false;
     // Whether the method is HEAD, so that the response has no body.
     bool is_head = false;
     mono_time deadline{};
@@ -74,6 +78,16 @@
 
 class client_connection;
 
+/// Result of an attempt to open a connection.
+enum class probe_result
+{
+    connected,
+    /// Nothing listens at the address.
+    refused,
+    /// There was no response in time.
+    silent
+};
+
 /// Pool of connections to one address. Not thread-safe.
 class client_pool : public std::enable_shared_from_this<client_pool>
 {
@@ -90,6 +104,11 @@
     /// Cancels an exchange by closing its connection, without calling `on_end`.
     /// Does nothing if `exchange` is null.
     static void cancel(std::shared_ptr<client_connection> const& exchange);
+    /// Opens a connection without sending a request, and keeps it if that
+    /// succeeds. `on_end` is called exactly once, within `timeout`.
+    void probe(milliseconds timeout, std::function<void(probe_result)> on_end);
+    /// Whether there is an open connection that carries no exchange.
+    [[nodiscard]] bool has_idle_connection() const;
     /// Closes all idle connections.
     void close_idle();
 
--- a/src/pollenhall_sidecar/control_node.cpp
+++ b/src/pollenhall_sidecar/control_node.cpp
@@ -7,7 +7,6 @@
 #include <pollenhall/io/log_event.hpp>
 
 #include <algorithm>
-#include <iterator>
 
 namespace pollenhall::sidecar
 {
@@ -35,8 +34,6 @@
 // Slots of an upstream that was found by a health check and has no host entry.
 // The number is low; the first heartbeat replaces it within seconds.
 constexpr int assumed_slots = 32;
-// Limit on the suspicions in a host entry; the latest ones are kept.
-constexpr std::ptrdiff_t max_suspicions = 32;
 
 } // namespace
 
@@ -281,6 +278,10 @@
                                      : std::string(entry.status().message()));
         return;
     }
+    read_suspicions(*entry);
+    // The traffic thread receives them on their own: a new suspicion does not
+    // change what is known of the host.
+    entry->suspicions.clear();
     hosts_.insert_or_assign(host, std::move(*entry));
 }
 
@@ -313,23 +314,14 @@
             .zone = options_.zone,
             .service = options_.service,
             .incarnation = upstream.last.incarnation,
+            .started = upstream.last.started,
             .slots = upstream.last.slots,
             .ready = upstream.accepts_work() && !stopping_,
             .cold_remaining = upstream.last.sequence <= 2
                                   ? upstream.last.cold_remaining
                                   : milliseconds{0},
             .boot = boot_,
-            .suspicions = suspicions_};
-}
-
-void control_node::on_suspicions(std::vector<crash_suspicion> suspicions)
-{
-    std::move(suspicions.begin(), suspicions.end(),
-              std::back_inserter(suspicions_));
-    if (std::ssize(suspicions_) > max_suspicions)
-        suspicions_.erase(suspicions_.begin(),
-                          suspicions_.end() - max_suspicions);
-    publish_entry();
+            .suspicions = suspicions_.published(wall_now())};
 }
 
 void control_node::publish_entry()
@@ -345,7 +337,8 @@
         // A changed `cold_remaining` alone causes no write: the warm-up ends
         // without one.
         if (known.ok() && known->incarnation == entry.incarnation &&
-            known->ready == entry.ready && known->slots == entry.slots &&
+            known->started == entry.started && known->ready == entry.ready &&
+            known->slots == entry.slots &&
             known->gate_port == entry.gate_port && known->zone == entry.zone &&
             known->service == entry.service &&
             known->suspicions == entry.suspicions)
@@ -405,6 +398,7 @@
                                               published_entry_ = item.value;
                                               published_revision_ =
                                                   item.revision;
+                                              apply_host(item);
                                           }
                                       publish_entry();
                                   });
@@ -485,12 +479,17 @@
                  return;
              }
              int slots = assumed_slots;
+             std::optional<wall_time> started;
              auto const own = hosts_.find(options_.host);
              if (own != hosts_.end() &&
                  own->second.incarnation.value() == *incarnation)
+             {
                  slots = own->second.slots;
+                 started = own->second.started;
+             }
              if (registration_.on_health_check(
-                     mesh::incarnation_id(*incarnation), slots, mono_now()))
+                     mesh::incarnation_id(*incarnation), started, slots,
+                     mono_now()))
                  upstream_changed("health_check");
          }});
 }
--- a/src/pollenhall_sidecar/control_node.hpp
+++ b/src/pollenhall_sidecar/control_node.hpp
@@ -14,6 +14,7 @@
 #include <pollenhall/mesh/configuration.hpp>
 #include <pollenhall/mesh/registration.hpp>
 #include <pollenhall/mesh/store_relays.hpp>
+#include <pollenhall/mesh/suspicion_ledger.hpp>
 
 #include <map>
 #include <random>
@@ -28,6 +29,7 @@
     std::function<void(std::shared_ptr<mesh::route_table const>)> set_routes;
     std::function<void(std::vector<mesh::host_entry>)> set_hosts;
     std::function<void(std::optional<mesh::registered_upstream>)> set_upstream;
+    std::function<void(std::vector<crash_suspicion>)> add_suspicions;
 };
 
 /// Parses a configuration document; returns an error if it is invalid.
@@ -54,9 +56,9 @@
     on_heartbeat(mesh::upstream_heartbeat const& heartbeat);
     /// The upstream has deregistered and accepts no further calls.
     void on_leave(mesh::incarnation_id const& incarnation);
-    /// Publishes requests that are suspected of having crashed the upstream in
-    /// the host entry, so that other nodes receive them.
-    void on_suspicions(std::vector<crash_suspicion> suspicions);
+    /// Sends requests that are suspected of crashing upstreams to other nodes,
+    /// and publishes them in the host entry.
+    void on_suspicions(std::vector<crash_suspicion> const& suspicions);
     /// Called when a response from `host` names a configuration version. If it
     /// is newer than the one in force, that host is polled for it.
     void on_newer_version(mesh::config_version version,
@@ -68,11 +70,9 @@
     {
         return routes_ ? routes_->config().version : mesh::config_version();
     }
-    /// Handlers for the listener that serves store changes to peers.
-    [[nodiscard]] server_handlers peer_handlers()
-    {
-        return change_feed_.handlers();
-    }
+    /// Handlers for the listener that serves store changes to peers and
+    /// receives suspicions from them.
+    [[nodiscard]] server_handlers peer_handlers();
     [[nodiscard]] std::string metrics_page() const
     {
         return metrics_.serialize();
@@ -113,6 +113,14 @@
     void
     request_changes(mesh::host_address const& host, milliseconds wait,
                     std::function<void(exchange_result const&)> const& on_end);
+    // The pool of connections to the control port of a peer.
+    client_pool& peer_pool(mesh::host_address const& host);
+    void receive_suspicions(std::shared_ptr<server_connection> const& from,
+                            std::string const& body);
+    void send_suspicions(std::vector<crash_suspicion> const& suspicions);
+    // Adds the suspicions in a host entry.
+    void read_suspicions(mesh::host_entry const& entry);
+    void schedule_adoption();
     // Probes one host of the zone and removes its entry if it has been
     // unreachable for long enough.
     void probe_next_host();
@@ -143,7 +151,8 @@
     std::map<mesh::host_address, mesh::host_entry> hosts_;
     mesh::upstream_registration registration_;
 
-    std::vector<crash_suspicion> suspicions_;
+    mesh::suspicion_ledger suspicions_;
+    bool adoption_scheduled_ = false;
 
     // Last known value and revision of this host's key in the store.
     std::optional<std::string> published_entry_;
--- a/src/pollenhall_sidecar/control_peers.cpp
+++ b/src/pollenhall_sidecar/control_peers.cpp
@@ -1,11 +1,13 @@
-// Requests of control_node to peers: long polls for store changes, and probes
-// of hosts whose entries may have to be removed.
+// Requests between control_node and its peers: long polls for store changes,
+// probes of hosts whose entries may have to be removed, and crash suspicions.
 
 #include "control_node.hpp"
 
 #include <pollenhall/io/clocks.hpp>
 #include <pollenhall/io/log_event.hpp>
 
+#include <algorithm>
+
 namespace pollenhall::sidecar
 {
 namespace
@@ -22,6 +24,12 @@
 constexpr milliseconds peer_timeout{300};
 // Delay before the next peer is watched after one has failed.
 constexpr milliseconds peer_failure_delay{50};
+// Number of peers that a node sends new suspicions to. Up to this number of
+// hosts, all of them get each suspicion from the node that reports it; in a
+// larger mesh each receiver sends it on.
+constexpr std::size_t suspicion_fanout = 16;
+// How often a node checks for suspicions that no host entry contains.
+constexpr milliseconds adoption_check_interval{500};
 
 } // namespace
 
@@ -92,9 +100,7 @@
                     });
 }
 
-void control_node::request_changes(
-    mesh::host_address const& host, milliseconds wait,
-    std::function<void(exchange_result const&)> const& on_end)
+client_pool& control_node::peer_pool(mesh::host_address const& host)
 {
     auto& pool = peer_pools_[host];
     if (!pool)
@@ -103,12 +109,19 @@
             asio::ip::tcp::endpoint(asio::ip::make_address(host.value()),
                                     options_.peer_control.port()),
             client_pool_options{.connect_timeout = peer_timeout});
+    return *pool;
+}
+
+void control_node::request_changes(
+    mesh::host_address const& host, milliseconds wait,
+    std::function<void(exchange_result const&)> const& on_end)
+{
     mesh::http_request request{
         .method = "GET", .target = changes_target(mirror_.revision(), wait)};
     request.fields.add("Host", host.value());
-    pool->start({.bytes = mesh::write_request(request),
-                 .deadline = mono_now() + wait + peer_timeout,
-                 .on_end = on_end});
+    peer_pool(host).start({.bytes = mesh::write_request(request),
+                           .deadline = mono_now() + wait + peer_timeout,
+                           .on_end = on_end});
 }
 
 void control_node::probe_next_host()
@@ -171,4 +184,103 @@
     return report->current;
 }
 
+server_handlers control_node::peer_handlers()
+{
+    auto handlers = change_feed_.handlers();
+    handlers.on_request =
+        [this, serve_changes = handlers.on_request](
+            auto const& from, mesh::http_request const& request)
+    {
+        if (request.method == "POST" && request.target == suspicions_path)
+            return receive_suspicions(from, request.body);
+        serve_changes(from, request);
+    };
+    return handlers;
+}
+
+void control_node::receive_suspicions(
+    std::shared_ptr<server_connection> const& from, std::string const& body)
+{
+    auto const received = parse_suspicions(body);
+    if (!received.ok())
+    {
+        log_event("peer_request_not_readable", log_level::warning)
+            .add("from", from->remote_host())
+            .add("error", std::string(received.status().message()));
+        return from->respond(mesh::write_response({.status = 400}, "POST"),
+                             false);
+    }
+    from->respond(mesh::write_response({.status = 200}, "POST"), false);
+    auto const news = suspicions_.hear(*received, wall_now());
+    if (news.empty())
+        return;
+    traffic_.add_suspicions(news);
+    schedule_adoption();
+    if (hosts_.size() > suspicion_fanout)
+        send_suspicions(news);
+}
+
+void control_node::on_suspicions(std::vector<crash_suspicion> const& suspicions)
+{
+    auto const news = suspicions_.report(suspicions, wall_now());
+    if (news.empty())
+        return;
+    publish_entry();
+    send_suspicions(news);
+}
+
+void control_node::send_suspicions(
+    std::vector<crash_suspicion> const& suspicions)
+{
+    std::vector<mesh::host_address> others;
+    for (auto const& [host, entry] : hosts_)
+        if (host != options_.host)
+            others.push_back(host);
+    std::shuffle(others.begin(), others.end(), random_);
+    others.resize(std::min(others.size(), suspicion_fanout));
+    for (auto const& host : others)
+    {
+        mesh::http_request request{.method = "POST",
+                                   .target = std::string(suspicions_path),
+                                   .body = write_suspicions(suspicions)};
+        request.fields.add("Host", host.value());
+        peer_pool(host).start({.bytes = mesh::write_request(request),
+                               .deadline = mono_now() + peer_timeout,
+                               .on_end = [host](exchange_result const& result)
+                               {
+                                   // The host entries are a second way to the
+                                   // peer.
+                                   if (result.end != exchange_end::answered)
+                                       log_event("suspicions_not_sent",
+                                                 log_level::warning)
+                                           .add("peer", host.value())
+                                           .add("end", to_string(result.end))
+                                           .add("detail", result.detail);
+                               }});
+    }
+}
+
+void control_node::read_suspicions(mesh::host_entry const& entry)
+{
+    auto const news = suspicions_.read_entry(
+        entry.suspicions, entry.host == options_.host, wall_now());
+    if (!news.empty())
+        traffic_.add_suspicions(news);
+}
+
+void control_node::schedule_adoption()
+{
+    if (adoption_scheduled_ || !suspicions_.has_unpublished())
+        return;
+    adoption_scheduled_ = true;
+    timers_.after(jittered(2 * adoption_check_interval),
+                  [this]
+                  {
+                      adoption_scheduled_ = false;
+                      if (suspicions_.adopt(wall_now()))
+                          publish_entry();
+                      schedule_adoption();
+                  });
+}
+
 } // namespace pollenhall::sidecar
--- a/src/pollenhall_sidecar/gate.cpp
+++ b/src/pollenhall_sidecar/gate.cpp
@@ -23,6 +23,13 @@
 // If a connection attempt to the upstream fails, connections that broke within
 // this time before are attributed to a crash of the upstream.
 constexpr milliseconds crash_window{1'000};
+// The same if a heartbeat shows that the upstream has started again. Longer,
+// because heartbeats are seconds apart.
+constexpr milliseconds new_start_window{4'000};
+// Time after a broken connection until the other connections to the upstream
+// show whether it has ended.
+constexpr milliseconds liveness_check_delay{20};
+constexpr milliseconds liveness_probe_timeout{150};
 // A call with less time left than this is not forwarded.
 constexpr milliseconds min_run_time{5};
 
@@ -42,6 +49,14 @@
     bool const replaced =
         upstream_ && upstream &&
         upstream_->last.incarnation != upstream->last.incarnation;
+    // An upstream that starts again without having left has crashed, even if
+    // it was back before a connection attempt failed.
+    bool const started_again =
+        replaced || (upstream_ && upstream && upstream_->last.started &&
+                     upstream->last.started &&
+                     *upstream_->last.started != *upstream->last.started);
+    if (started_again)
+        report_crash(mono_now(), new_start_window);
     upstream_ = std::move(upstream);
     if (replaced)
         pool_->close_idle();
@@ -110,6 +125,7 @@
 
 void gate::cancel(mesh::gate_call_id number)
 {
+    held_.erase(number);
     auto const found = calls_.find(number);
     if (found == calls_.end())
         return;
@@ -124,6 +140,8 @@
     if (!item.call.metadata.idempotent)
         return;
     client_pool::cancel(item.exchange);
+    // A caller may give up before the upstream crashes on its request.
+    record_broken_call(item, mono_now());
     queue_.on_finished(std::nullopt, false, mono_now());
     erase_running(found->second.call.id, number);
     calls_.erase(found);
@@ -173,6 +191,13 @@
                         .reason = "no_time_left"});
         return;
     }
+    if (is_quarantined_ && is_quarantined_(item.call))
+    {
+        queue_.on_finished(std::nullopt, false, now);
+        finish(number, {.end = mesh::attempt_end::quarantined,
+                        .reason = "quarantined"});
+        return;
+    }
     auto& request = item.call.request;
     request.fields.set(options_.headers.time_left_ms,
                        std::to_string(left.count()));
@@ -242,10 +267,11 @@
             .add("after_ms",
                  std::chrono::duration_cast<milliseconds>(now - item.started)
                      .count());
-    if (result.end == exchange_end::broken)
+    bool const broken = result.end == exchange_end::broken;
+    if (broken)
         record_broken_call(item, now);
     else if (result.end == exchange_end::not_connected)
-        report_crash(now);
+        report_crash(now, crash_window);
     auto outcome = classify_result(std::move(result));
     if (outcome.end == mesh::attempt_end::answered && on_completed_)
         on_completed_(item.call);
@@ -256,39 +282,92 @@
     bool const failed = outcome.end != mesh::attempt_end::answered &&
                         outcome.end != mesh::attempt_end::failed;
     queue_.on_finished(now - item.started, failed, now);
-    finish(number, std::move(outcome));
+    if (broken)
+        hold(number, std::move(outcome));
+    else
+        finish(number, std::move(outcome));
     start_ready_calls();
 }
 
+void gate::hold(mesh::gate_call_id number, attempt_result result)
+{
+    auto node = calls_.extract(number);
+    erase_running(node.mapped().call.id, number);
+    if (node.mapped().on_end)
+        held_.emplace(number,
+                      held_call{.on_end = std::move(node.mapped().on_end),
+                                .result = std::move(result)});
+    if (checking_liveness_)
+        return;
+    checking_liveness_ = true;
+    timers_.after(liveness_check_delay, [this] { check_liveness(); });
+}
+
+void gate::check_liveness()
+{
+    // A process that ends closes all of its connections. One that is open shows
+    // that the upstream lives, without the cost of a new connection.
+    if (pool_->has_idle_connection())
+    {
+        checking_liveness_ = false;
+        return release_held_calls(false);
+    }
+    pool_->probe(liveness_probe_timeout,
+                 [this](probe_result result)
+                 {
+                     checking_liveness_ = false;
+                     bool const ended = result == probe_result::refused;
+                     if (ended)
+                         report_crash(mono_now(), crash_window);
+                     release_held_calls(ended);
+                 });
+}
+
+void gate::release_held_calls(bool crashed)
+{
+    for (auto& [number, item] : std::exchange(held_, {}))
+    {
+        if (crashed)
+            item.result.reason = upstream_crashed_reason;
+        item.on_end(std::move(item.result));
+    }
+}
+
 void gate::record_broken_call(active_call const& item, mono_time now)
 {
     std::erase_if(broken_calls_, [&](auto const& old)
-                  { return now - old.broken > crash_window; });
-    broken_calls_.push_back(
-        {.broken = now,
-         .started = item.started,
-         .content = fingerprint_of(item.call.request, options_.headers)});
+                  { return now - old.broken > new_start_window; });
+    broken_calls_.push_back({.broken = now,
+                             .started = item.started,
+                             .content = fingerprint_of(item.call.request)});
 }
 
-void gate::report_crash(mono_time now)
+void gate::report_crash(mono_time now, milliseconds window)
 {
-    std::erase_if(broken_calls_, [&](auto const& old)
-                  { return now - old.broken > crash_window; });
+    std::erase_if(broken_calls_,
+                  [&](auto const& old) { return now - old.broken > window; });
     if (broken_calls_.empty())
         return;
+    // The end of an upstream that leaves is planned.
+    if (upstream_ && !upstream_->accepts_work())
+        return broken_calls_.clear();
     std::sort(broken_calls_.begin(), broken_calls_.end(),
               [](auto const& left, auto const& right)
               { return left.started > right.started; });
-    std::vector<fingerprint> suspects;
+    upstream_crash crash;
+    if (upstream_)
+    {
+        crash.incarnation = upstream_->last.incarnation;
+        crash.started = upstream_->last.started;
+    }
     for (auto const& item : broken_calls_)
-        suspects.push_back(item.content);
+        crash.in_flight.push_back(item.content);
     broken_calls_.clear();
     log_event("upstream_crashed", log_level::warning)
-        .add("incarnation",
-             upstream_ ? upstream_->last.incarnation.value() : "")
-        .add("in_flight", static_cast<std::int64_t>(suspects.size()));
+        .add("incarnation", crash.incarnation.value())
+        .add("in_flight", static_cast<std::int64_t>(crash.in_flight.size()));
     if (on_crash_)
-        on_crash_(std::move(suspects));
+        on_crash_(std::move(crash));
 }
 
 void gate::finish(mesh::gate_call_id number, attempt_result result)
--- a/src/pollenhall_sidecar/gate.hpp
+++ b/src/pollenhall_sidecar/gate.hpp
@@ -31,6 +31,16 @@
     milliseconds default_max_wait{300};
 };
 
+/// A crash of the upstream.
+struct upstream_crash
+{
+    // The start of the upstream that has ended.
+    mesh::incarnation_id incarnation;
+    std::optional<wall_time> started{};
+    // Requests that were running, most recently started first.
+    std::vector<fingerprint> in_flight;
+};
+
 /// Queues and forwards the calls to one upstream. Not thread-safe: used on the
 /// traffic thread only.
 class gate
@@ -47,12 +57,17 @@
     /// exactly once unless the call is cancelled, possibly before `submit`
     /// returns.
     mesh::gate_call_id submit(mesh_call call, attempt_handler on_end);
-    /// Sets the handler of upstream crashes. It receives the fingerprints of
-    /// the requests that were in flight, most recently started first.
-    void set_crash_handler(std::function<void(std::vector<fingerprint>)> action)
+    /// Sets the handler of upstream crashes.
+    void set_crash_handler(std::function<void(upstream_crash)> action)
     {
         on_crash_ = std::move(action);
     }
+    /// Sets the check for requests that crash upstreams. It is made just before
+    /// a call would be forwarded, so that it includes the latest crashes.
+    void set_quarantine_check(std::function<bool(mesh_call const&)> check)
+    {
+        is_quarantined_ = std::move(check);
+    }
     /// Sets the handler of calls that the upstream completed without an error.
     void set_completion_handler(std::function<void(mesh_call const&)> action)
     {
@@ -68,7 +83,10 @@
     [[nodiscard]] call_metadata const* find_running(request_id const& id) const;
     [[nodiscard]] mesh::upstream_load load() const;
     /// Number of calls that are waiting or running.
-    [[nodiscard]] std::size_t active_calls() const { return calls_.size(); }
+    [[nodiscard]] std::size_t active_calls() const
+    {
+        return calls_.size() + held_.size();
+    }
 
 private:
     struct active_call
@@ -91,9 +109,15 @@
     void on_exchange_end(mesh::gate_call_id number, exchange_result result);
     [[nodiscard]] attempt_result classify_result(exchange_result result) const;
     void finish(mesh::gate_call_id number, attempt_result result);
+    // Records a call during which the upstream may have crashed.
     void record_broken_call(active_call const& item, mono_time now);
-    // Reports a crash if connections broke within the crash window.
-    void report_crash(mono_time now);
+    // Delays the result of a call whose connection broke until it is known
+    // whether the upstream crashed: a retry may depend on it.
+    void hold(mesh::gate_call_id number, attempt_result result);
+    void check_liveness();
+    void release_held_calls(bool crashed);
+    // Reports a crash if connections broke within `window` before.
+    void report_crash(mono_time now, milliseconds window);
     void erase_running(request_id const& id, mesh::gate_call_id number);
     void reject_waiting_calls();
     void schedule_expiry();
@@ -108,7 +132,8 @@
     std::optional<mesh::registered_upstream> upstream_;
     std::map<mesh::gate_call_id, active_call> calls_;
     std::map<request_id, mesh::gate_call_id> running_;
-    // A call whose connection to the upstream broke within the crash window.
+    // A call whose connection to the upstream broke a short time ago, or that
+    // was cancelled.
     struct broken_call
     {
         mono_time broken{};
@@ -116,7 +141,16 @@
         fingerprint content;
     };
     std::vector<broken_call> broken_calls_;
-    std::function<void(std::vector<fingerprint>)> on_crash_;
+    struct held_call
+    {
+        attempt_handler on_end;
+        attempt_result result;
+    };
+    // Calls that have left `calls_` and whose result is delayed.
+    std::map<mesh::gate_call_id, held_call> held_;
+    bool checking_liveness_ = false;
+    std::function<void(upstream_crash)> on_crash_;
+    std::function<bool(mesh_call const&)> is_quarantined_;
     std::function<void(mesh_call const&)> on_completed_;
     std::uint64_t last_number_ = 0;
     bool expiry_scheduled_ = false;
--- a/src/pollenhall_sidecar/host_entry_json.cpp
+++ b/src/pollenhall_sidecar/host_entry_json.cpp
@@ -1,9 +1,11 @@
-// Conversion of host entries to and from JSON.
+// Conversion of host entries and crash suspicions to and from JSON.
 
 #include "host_entry_json.hpp"
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 #include <asio/ip/address.hpp>
 
 namespace pollenhall::sidecar
@@ -13,17 +15,24 @@
 
 using nlohmann::json;
 
+std::int64_t to_ms(wall_time time)
+{
+    return std::chrono::duration_cast<milliseconds>(time.time_since_epoch())
+        .count();
+}
+
 json to_json(mesh::host_entry const& entry)
 {
     json suspicions = json::array();
     for (auto const& item : entry.suspicions)
-        suspicions.push_back(
-            {item.content.value(), item.crash.value(), item.time_left.count()});
+        suspicions.push_back({item.content.value(), item.crash.value(),
+                              to_ms(item.expires), item.confirmed ? 1 : 0});
     return {{"host", entry.host.value()},
             {"gate_port", entry.gate_port},
             {"zone", entry.zone.value()},
             {"service", entry.service.value()},
             {"incarnation", entry.incarnation.value()},
+            {"started_ms", entry.started ? to_ms(*entry.started) : 0},
             {"slots", entry.slots},
             {"ready", entry.ready},
             {"cold_ms", entry.cold_remaining.count()},
@@ -34,18 +43,25 @@
 // Throws json::exception if a field is missing or has the wrong type.
 mesh::host_entry from_json(json const& item)
 {
-    std::vector<crash_suspicion> suspicions;
+    std::vector<mesh::published_suspicion> suspicions;
     for (auto const& part : item.at("suspicions"))
         suspicions.push_back(
             {.content = fingerprint(part.at(0).get<std::uint64_t>()),
              .crash = crash_id(part.at(1).get<std::uint64_t>()),
-             .time_left = milliseconds(part.at(2).get<std::int64_t>())});
+             .confirmed = part.size() < 4 || part.at(3).get<int>() != 0,
+             .expires =
+                 wall_time(milliseconds(part.at(2).get<std::int64_t>()))});
+    // Zero if the upstream did not report it.
+    auto const started_ms = item.value("started_ms", std::int64_t{0});
     return {.host = mesh::host_address(item.at("host").get<std::string>()),
             .gate_port = item.at("gate_port").get<int>(),
             .zone = zone_name(item.at("zone").get<std::string>()),
             .service = service_name(item.at("service").get<std::string>()),
             .incarnation =
                 mesh::incarnation_id(item.at("incarnation").get<std::string>()),
+            .started = started_ms == 0
+                           ? std::nullopt
+                           : std::optional(wall_time(milliseconds(started_ms))),
             .slots = item.at("slots").get<int>(),
             .ready = item.at("ready").get<bool>(),
             .cold_remaining =
@@ -86,4 +102,35 @@
     }
 }
 
+std::string write_suspicions(std::vector<crash_suspicion> const& suspicions)
+{
+    auto out = json::array();
+    for (auto const& item : suspicions)
+        out.push_back({item.content.value(), item.crash.value(),
+                       item.time_left.count(), item.confirmed});
+    return out.dump();
+}
+
+absl::StatusOr<std::vector<crash_suspicion>>
+parse_suspicions(std::string const& text)
+{
+    try
+    {
+        std::vector<crash_suspicion> suspicions;
+        for (auto const& part : json::parse(text))
+            suspicions.push_back(
+                {.content = fingerprint(part.at(0).get<std::uint64_t>()),
+                 .crash = crash_id(part.at(1).get<std::uint64_t>()),
+                 .time_left =
+                     std::clamp(milliseconds(part.at(2).get<std::int64_t>()),
+                                milliseconds{0}, mesh::max_suspicion_lifetime),
+                 .confirmed = part.at(3).get<bool>()});
+        return suspicions;
+    }
+    catch (json::exception const& error)
+    {
+        return absl::InvalidArgumentError(error.what());
+    }
+}
+
 } // namespace pollenhall::sidecar
--- a/src/pollenhall_sidecar/origin_call.cpp
+++ b/src/pollenhall_sidecar/origin_call.cpp
@@ -105,11 +105,22 @@
         auto const step = policy_.on_end(end, false, [] { return false; });
         return respond(step, {.end = end, .reason = "no_upstream"});
     }
+    // The news of a crash may have arrived after the request.
+    if (node_.is_quarantined(call_.request, call_.metadata.service))
+    {
+        constexpr auto end = mesh::attempt_end::quarantined;
+        auto const step = policy_.on_end(end, false, [] { return false; });
+        return respond(step, {.end = end, .reason = "quarantined"});
+    }
     auto const number = ++attempt_count_;
     call_.metadata.expected_incarnation = host->incarnation;
     tried_.push_back(host->host);
     open_attempts_.emplace(
-        number, open_attempt{.host = host->host, .started = mono_now()});
+        number,
+        open_attempt{.host = host->host,
+                     .started = mono_now(),
+                     .possible_crash = mesh::crash_id_of(
+                         host->host, host->incarnation, host->started)});
     node_.placement_.on_sent(host->host);
     schedule_hedge();
     if (host->host == node_.options_.host)
@@ -168,14 +179,16 @@
                  return;
              self->node_.placement_.on_finished(address);
              self->on_attempt_end(
-                 number, self->read_peer_result(address, std::move(result)));
+                 number, self->read_peer_result(self->open_attempts_.at(number),
+                                                std::move(result)));
          }});
 }
 
-attempt_result origin_call::read_peer_result(mesh::host_address const& host,
+attempt_result origin_call::read_peer_result(open_attempt const& attempt,
                                              exchange_result result)
 {
     using mesh::attempt_end;
+    auto const& host = attempt.host;
     auto const now = mono_now();
     switch (result.end)
     {
@@ -184,6 +197,7 @@
         return {.end = attempt_end::not_offered, .reason = "peer_unreachable"};
     case exchange_end::broken:
         node_.placement_.on_unreachable(host, now);
+        node_.on_call_lost(attempt.possible_crash, call_, attempt.started);
         return {.end = attempt_end::unknown, .reason = "peer_broke_off"};
     case exchange_end::timed_out:
         return {.end = attempt_end::timed_out, .reason = "peer_silent"};
@@ -210,6 +224,8 @@
 void origin_call::record_outcome(open_attempt const& ended,
                                  mesh::attempt_end end)
 {
+    if (end == mesh::attempt_end::quarantined)
+        return;
     auto const now = mono_now();
     record_contact(ended.host, end);
     if (end == mesh::attempt_end::answered || end == mesh::attempt_end::failed)
@@ -227,6 +243,8 @@
         node_.placement_.on_not_ready(ended.host, not_ready_timeout,
                                       mono_now());
     record_outcome(ended, result.end);
+    if (result.reason == upstream_crashed_reason)
+        node_.on_crash_reported(ended.possible_crash, call_);
     if (!open_attempts_.empty() && result.end != mesh::attempt_end::answered)
     {
         // The other attempt may still succeed.
@@ -291,7 +309,8 @@
 void origin_call::on_hedge_timer()
 {
     auto const keep = shared_from_this();
-    if (done_ || open_attempts_.empty() || choose_upstream() == nullptr)
+    if (done_ || open_attempts_.empty() || choose_upstream() == nullptr ||
+        node_.is_quarantined(call_.request, call_.metadata.service))
         return;
     // Under overload all responses are late, and each hedged attempt would also
     // repeat its downstream calls.
@@ -378,6 +397,8 @@
     auto const& id = call_.id.value();
     node_.metrics_.record_call(call_.metadata.service, result.reason,
                                mono_now() - arrived_);
+    if (result.end == mesh::attempt_end::answered)
+        node_.on_completed(call_);
     if (step == mesh::next_step::deliver)
     {
         log_event("call_answered")
@@ -414,6 +435,9 @@
     switch (step)
     {
     case mesh::next_step::report_not_run:
+        if (result.end == mesh::attempt_end::quarantined)
+            return finish(node_.make_response(503, result.reason, id,
+                                              quarantine_retry_after));
         return finish(node_.make_response(
             503, result.reason, id,
             jittered_retry_after(result.retry_after, node_.random_())));
--- a/src/pollenhall_sidecar/origin_call.hpp
+++ b/src/pollenhall_sidecar/origin_call.hpp
@@ -28,6 +28,8 @@
     {
         mesh::host_address host;
         mono_time started{};
+        // The crash that has happened if the upstream ends during the attempt.
+        crash_id possible_crash{};
         // At most one of these is set: the number of the call at the local
         // gate, or the exchange with a peer.
         std::optional<mesh::gate_call_id> gate_call_number{};
@@ -36,8 +38,8 @@
 
     void send_to_gate(int number);
     void send_to_peer(int number, mesh::host_entry const& host);
-    [[nodiscard]] attempt_result
-    read_peer_result(mesh::host_address const& host, exchange_result result);
+    [[nodiscard]] attempt_result read_peer_result(open_attempt const& attempt,
+                                                  exchange_result result);
     void on_attempt_end(int number, attempt_result const& result);
     // Records the contact with the host and updates the response statistics of
     // the route.
--- a/src/pollenhall_sidecar/sidecar_test.cpp
+++ b/src/pollenhall_sidecar/sidecar_test.cpp
@@ -29,11 +29,11 @@
                                .not_run = "Test-Not-Run",
                                .retry_after = "Retry-After"};
 
-asio::ip::tcp::endpoint free_address()
+asio::ip::tcp::endpoint free_address(char const* host = "127.0.0.1")
 {
     static asio::io_context context;
-    asio::ip::tcp::acceptor const probe(
-        context, {asio::ip::make_address("127.0.0.1"), 0});
+    asio::ip::tcp::acceptor const probe(context,
+                                        {asio::ip::make_address(host), 0});
     return probe.local_endpoint();
 }
 
@@ -48,12 +48,15 @@
         fail,
         reject,
         disconnect,
+        // Closes the connection and refuses new ones, as if the process had
+        // ended.
+        crash,
         hang
     };
 
     scripted_upstream(asio::io_context& context, deadline_timers& timers,
-                      std::string name)
-        : name_(std::move(name)), address_(free_address()),
+                      std::string name, char const* host = "127.0.0.1")
+        : name_(std::move(name)), address_(free_address(host)),
           listener_(
               context, timers,
               {.on_request = [this](auto const& from, auto request)
@@ -76,8 +79,18 @@
         for (auto const& item : std::exchange(pending_, {}))
             item.from->respond(item.response, false);
     }
-    /// Stops accepting connections, as if the process had exited.
-    void stop_listening() { listener_.stop_accepting(); }
+    void abort_pending_requests()
+    {
+        for (auto const& item : std::exchange(pending_, {}))
+            item.from->abort();
+    }
+    /// Stops accepting connections and closes idle ones, as if the process had
+    /// exited.
+    void stop_listening()
+    {
+        listener_.stop_accepting();
+        listener_.close_when_idle();
+    }
 
     [[nodiscard]] asio::ip::tcp::endpoint const& address() const
     {
@@ -113,7 +126,9 @@
         auto const bytes = mesh::write_response(response, request.method);
         received.push_back(std::move(request));
 
-        if (action == step::disconnect)
+        if (action == step::crash)
+            stop_listening();
+        if (action == step::disconnect || action == step::crash)
             from->abort();
         else if (action == step::hang)
         {
@@ -639,12 +654,11 @@
     SUBCASE("after a second crash that is reported by another node")
     {
         auto known = nodes.hosts();
-        known[0].suspicions = reported;
         auto second = reported.front();
         second.crash = crash_id(second.crash.value() + 1);
-        known[1].suspicions = {second};
         known[0].host = mesh::host_address("127.0.0.3");
         nodes.first.set_hosts(known);
+        nodes.first.add_suspicions({second});
         auto const request_count = nodes.request_count();
         CHECK(nodes.call("GET", "/read/poison").response.status == 503);
         CHECK(nodes.request_count() == request_count);
@@ -652,6 +666,129 @@
     }
 }
 
+TEST_CASE("a request that crashes upstreams")
+{
+    two_nodes nodes;
+    std::vector<crash_suspicion> reported;
+    auto const collect = [&](std::vector<crash_suspicion> const& suspicions)
+    { reported.insert(reported.end(), suspicions.begin(), suspicions.end()); };
+    nodes.first.set_suspicion_handler(collect);
+    nodes.second.set_suspicion_handler(collect);
+    crash_suspicion const known{
+        .content = fingerprint_of(nodes.make_request("POST", "/order/poison")),
+        .crash = crash_id(1),
+        .time_left = seconds{60}};
+    auto second_crash = known;
+    second_crash.crash = crash_id(2);
+
+    SUBCASE("is suspected although no other call follows")
+    {
+        nodes.set_only_host(0);
+        nodes.first_upstream.script = {step::crash};
+        CHECK(nodes.call("POST", "/order/poison").response.status == 502);
+        REQUIRE(reported.size() == 1);
+        CHECK(reported[0].content == known.content);
+        CHECK(reported[0].confirmed);
+    }
+    SUBCASE("is not suspected if only its connection broke")
+    {
+        nodes.set_only_host(0);
+        nodes.first_upstream.script = {step::disconnect};
+        CHECK(nodes.call("POST", "/order/poison").response.status == 502);
+        CHECK(reported.empty());
+    }
+    SUBCASE("is suspected if the upstream is back before anything fails")
+    {
+        nodes.set_only_host(0);
+        nodes.first_upstream.script = {step::disconnect};
+        CHECK(nodes.call("POST", "/order/poison").response.status == 502);
+        auto restarted = nodes.first_upstream.registration();
+        restarted.last.incarnation = mesh::incarnation_id("u1-again");
+        nodes.first.set_upstream(restarted);
+        CHECK(reported.size() == 1);
+    }
+    SUBCASE("is not suspected if the upstream was leaving")
+    {
+        nodes.set_only_host(0);
+        nodes.first_upstream.script = {step::hang};
+        std::optional<exchange_result> ended;
+        nodes.start(nodes.make_request("POST", "/order/poison"),
+                    [&](exchange_result const& result) { ended = result; });
+        nodes.run_until([&] { return nodes.request_count() == 1; });
+        auto leaving = nodes.first_upstream.registration();
+        leaving.left = true;
+        nodes.first.set_upstream(leaving);
+        nodes.first_upstream.stop_listening();
+        nodes.first_upstream.abort_pending_requests();
+        nodes.run_until([&] { return ended.has_value(); });
+        CHECK(ended->response.status == 502);
+        CHECK(reported.empty());
+    }
+    SUBCASE("reaches no other upstream in its retries after a second crash")
+    {
+        nodes.first_upstream.script = {step::crash};
+        nodes.second_upstream.script = {step::crash};
+        auto earlier = known;
+        earlier.content =
+            fingerprint_of(nodes.make_request("GET", "/read/poison"));
+        nodes.first.add_suspicions({earlier});
+        CHECK(nodes.call("GET", "/read/poison").response.status == 502);
+        CHECK(nodes.request_count() == 1);
+        CHECK(nodes.call("GET", "/read/poison").response.status == 503);
+        CHECK(nodes.request_count() == 1);
+    }
+    SUBCASE("is rejected by a gate that knows more than the sender")
+    {
+        nodes.set_only_host(1);
+        nodes.second.add_suspicions({known, second_crash});
+        auto const result = nodes.call("POST", "/order/poison");
+        CHECK(result.response.status == 503);
+        CHECK(result.response.body == "quarantined\n");
+        CHECK(nodes.request_count() == 0);
+    }
+    SUBCASE("is rejected if the news arrives while it waits at the gate")
+    {
+        nodes.set_only_host(0);
+        auto narrow = nodes.first_upstream.registration();
+        narrow.last.slots = 1;
+        nodes.first.set_upstream(narrow);
+        nodes.first_upstream.script = {step::hang};
+        bool first_ended = false;
+        nodes.start(nodes.make_request("GET", "/read/a"),
+                    [&](exchange_result const&) { first_ended = true; });
+        nodes.run_until([&] { return nodes.request_count() == 1; });
+        std::optional<exchange_result> waiting;
+        nodes.start(nodes.make_request("POST", "/order/poison"),
+                    [&](exchange_result const& result) { waiting = result; });
+        nodes.run_for(milliseconds{50});
+        nodes.first.add_suspicions({known, second_crash});
+        nodes.first_upstream.respond_to_pending_requests();
+        nodes.run_until([&] { return first_ended && waiting.has_value(); });
+        REQUIRE(waiting.has_value());
+        CHECK(waiting->response.status == 503);
+        CHECK(nodes.request_count() == 1);
+    }
+    SUBCASE("is suspected by the sender if the node beside it ends as well")
+    {
+        // A stand-in for the peer that breaks the connection, as a killed
+        // process does.
+        scripted_upstream peer{nodes.context, nodes.timers, "peer",
+                               "127.0.0.3"};
+        peer.script = {step::disconnect};
+        auto hosts = nodes.hosts();
+        hosts.erase(hosts.begin());
+        hosts[0].host =
+            mesh::host_address(peer.address().address().to_string());
+        hosts[0].gate_port = peer.address().port();
+        nodes.first.set_hosts(hosts);
+        CHECK(nodes.call("POST", "/order/poison").response.status == 502);
+        nodes.run_until([&] { return !reported.empty(); });
+        REQUIRE(reported.size() == 1);
+        CHECK(reported[0].content == known.content);
+        CHECK_FALSE(reported[0].confirmed);
+    }
+}
+
 TEST_CASE("call metadata and gate reports round-trip through their headers")
 {
     call_metadata const metadata{.service = service_name("shop"),
--- a/src/pollenhall_sidecar/traffic_node.cpp
+++ b/src/pollenhall_sidecar/traffic_node.cpp
@@ -5,11 +5,11 @@
 
 #include "origin_call.hpp"
 
-#include <pollenhall/hashing.hpp>
 #include <pollenhall/io/clocks.hpp>
 #include <pollenhall/io/log_event.hpp>
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <span>
 
@@ -41,10 +41,9 @@
 constexpr milliseconds stop_check_interval{50};
 // Maximum number of requests suspected after a crash. The most recently started
 // ones are chosen, as the cause started shortly before the crash.
-constexpr std::size_t max_suspects = 16;
-// Retry-After delay of a quarantined request: the longest time that a caller
-// waits for a response.
-constexpr milliseconds quarantine_retry_after{5'000};
+constexpr std::size_t max_suspects = 32;
+// Time in which the calls that were lost with a peer are collected.
+constexpr milliseconds lost_calls_delay{50};
 // Fraction of the shutdown grace period after which requests of callers are
 // rejected: later ones might not complete before the process ends.
 constexpr double caller_requests_stop_fraction = 0.55;
@@ -138,21 +137,20 @@
                                     .idle_timeout = peer_idle_timeout};
            },
            .memory_budget = memory_budget_}),
+      crash_guard_({.max_suspicions_per_crash = max_suspects}),
       random_(std::random_device{}())
 {
 }
 
 absl::Status traffic_node::open()
 {
-    gate_.set_crash_handler([this](std::vector<fingerprint> const& in_flight)
-                            { on_crash(in_flight); });
-    gate_.set_completion_handler(
+    gate_.set_crash_handler([this](upstream_crash const& crash)
+                            { on_crash(crash); });
+    gate_.set_quarantine_check(
         [this](mesh_call const& call)
-        {
-            if (has_suspicions_)
-                crash_guard_.on_completed(
-                    fingerprint_of(call.request, options_.headers));
-        });
+        { return is_quarantined(call.request, call.metadata.service); });
+    gate_.set_completion_handler([this](mesh_call const& call)
+                                 { on_completed(call); });
     if (auto status = caller_listener_.open(options_.outbound); !status.ok())
         return status;
     return peer_listener_.open(options_.gate);
@@ -166,9 +164,6 @@
 void traffic_node::set_hosts(std::vector<mesh::host_entry> hosts)
 {
     placement_.set_hosts(hosts, mono_now());
-    for (auto const& host : hosts)
-        if (host.host != options_.host)
-            merge_suspicions(host);
     retry_allowance_.set_node_count(hosts.size());
     std::erase_if(peer_pools_,
                   [&](auto const& item)
@@ -185,33 +180,73 @@
     gate_.set_upstream(std::move(upstream));
 }
 
-void traffic_node::on_crash(std::vector<fingerprint> const& in_flight)
+void traffic_node::on_crash(upstream_crash const& crash)
+{
+    publish_suspicions(crash_guard_.on_crash(
+        mesh::crash_id_of(options_.host, crash.incarnation, crash.started),
+        crash.in_flight, mono_now()));
+}
+
+void traffic_node::publish_suspicions(std::vector<crash_suspicion> suspicions)
 {
-    crash_id const crash(combine_hashes(
-        hash_text(options_.host.value()),
-        combine_hashes(
-            static_cast<std::uint64_t>(wall_now().time_since_epoch().count()),
-            ++crash_count_)));
-    auto const latest =
-        std::span(in_flight).first(std::min(in_flight.size(), max_suspects));
-    auto suspicions = crash_guard_.on_crash(crash, latest, mono_now());
+    if (suspicions.empty())
+        return;
     has_suspicions_ = true;
+    for (auto const& item : suspicions)
+        log_event("request_suspected")
+            .add("content",
+                 static_cast<std::int64_t>(item.content.value() >> 1))
+            .add("crash", static_cast<std::int64_t>(item.crash.value() >> 1))
+            .add("confirmed", item.confirmed);
     if (on_suspicions_)
         on_suspicions_(std::move(suspicions));
 }
 
-void traffic_node::merge_suspicions(mesh::host_entry const& host)
+void traffic_node::on_call_lost(crash_id possible_crash, mesh_call const& call,
+                                mono_time started)
 {
-    for (auto const& suspicion : host.suspicions)
+    if (lost_calls_.empty())
+        timers_.after(lost_calls_delay, [this] { report_lost_calls(); });
+    lost_calls_[possible_crash].push_back(
+        {.started = started, .content = fingerprint_of(call.request)});
+}
+
+void traffic_node::report_lost_calls()
+{
+    for (auto& [crash, calls] : std::exchange(lost_calls_, {}))
+    {
+        std::sort(calls.begin(), calls.end(),
+                  [](auto const& left, auto const& right)
+                  { return left.started > right.started; });
+        std::vector<fingerprint> in_flight;
+        for (auto const& item : calls)
+            in_flight.push_back(item.content);
+        publish_suspicions(
+            crash_guard_.on_crash(crash, in_flight, mono_now(), false));
+    }
+}
+
+void traffic_node::on_crash_reported(crash_id crash, mesh_call const& call)
+{
+    // The peer publishes the suspicion.
+    has_suspicions_ = true;
+    crash_guard_.on_crash(crash, std::array{fingerprint_of(call.request)},
+                          mono_now());
+}
+
+void traffic_node::add_suspicions(
+    std::vector<crash_suspicion> const& suspicions)
+{
+    for (auto const& suspicion : suspicions)
     {
         has_suspicions_ = true;
         if (crash_guard_.add(suspicion, mono_now()))
             log_event("crash_suspicion_heard")
-                .add("from", host.host.value())
                 .add("crash",
                      static_cast<std::int64_t>(suspicion.crash.value() >> 1))
                 .add("content",
-                     static_cast<std::int64_t>(suspicion.content.value() >> 1));
+                     static_cast<std::int64_t>(suspicion.content.value() >> 1))
+                .add("confirmed", suspicion.confirmed);
     }
 }
 
@@ -219,10 +254,16 @@
                                   service_name const& service)
 {
     return has_suspicions_ &&
-           crash_guard_.refuses(fingerprint_of(request, options_.headers),
+           crash_guard_.refuses(fingerprint_of(request),
                                 placement_.host_count(service), mono_now());
 }
 
+void traffic_node::on_completed(mesh_call const& call)
+{
+    if (has_suspicions_)
+        crash_guard_.on_completed(fingerprint_of(call.request), mono_now());
+}
+
 call_metadata const* traffic_node::find_parent_call(std::string const& id) const
 {
     auto const dot = id.rfind('.');
--- a/src/pollenhall_sidecar/traffic_node.hpp
+++ b/src/pollenhall_sidecar/traffic_node.hpp
@@ -42,8 +42,11 @@
         on_newer_version_ = std::move(action);
     }
 
+    /// Adds crash suspicions from other nodes, or from an earlier process of
+    /// this node.
+    void add_suspicions(std::vector<crash_suspicion> const& suspicions);
     /// Sets the handler that publishes crash suspicions to other nodes after a
-    /// crash of the local upstream.
+    /// crash of the local upstream, or the loss of a connection to a peer.
     void set_suspicion_handler(
         std::function<void(std::vector<crash_suspicion>)> action)
     {
@@ -72,10 +75,20 @@
                                             std::string const& id,
                                             milliseconds retry_after,
                                             bool close = false) const;
-    void on_crash(std::vector<fingerprint> const& in_flight);
-    void merge_suspicions(mesh::host_entry const& host);
+    void on_crash(upstream_crash const& crash);
+    void publish_suspicions(std::vector<crash_suspicion> suspicions);
+    // Records that a connection to a peer was lost during a call. The peer may
+    // have ended together with its upstream, and then nobody else knows the
+    // calls that were running there.
+    void on_call_lost(crash_id possible_crash, mesh_call const& call,
+                      mono_time started);
+    void report_lost_calls();
+    // Records a crash that the gate of a peer reports in the result of a call,
+    // so that it is known before the call is retried.
+    void on_crash_reported(crash_id crash, mesh_call const& call);
     [[nodiscard]] bool is_quarantined(mesh::http_request const& request,
                                       service_name const& service);
+    void on_completed(mesh_call const& call);
     // Returns the metadata of the call at the local upstream that caused the
     // request with this id; null if the request came from outside the mesh.
     [[nodiscard]] call_metadata const*
@@ -108,7 +121,14 @@
     // Whether any crash is known to crash_guard_. Fingerprints are computed
     // only from then on.
     bool has_suspicions_ = false;
-    std::uint64_t crash_count_ = 0;
+    // Calls whose connection to a peer was lost within the last
+    // `lost_calls_delay`, by the crash that may have ended them.
+    struct lost_call
+    {
+        mono_time started{};
+        fingerprint content;
+    };
+    std::map<crash_id, std::vector<lost_call>> lost_calls_;
     std::function<void(std::vector<crash_suspicion>)> on_suspicions_;
     std::mt19937_64 random_;
     std::function<void(mesh::config_version, mesh::host_address)>
--- a/src/pollenhalld/local_runner.cpp
+++ b/src/pollenhalld/local_runner.cpp
@@ -212,7 +212,7 @@
     if (result.unreachable)
         core_.report_unreachable();
     if (result.result.what == outcome::completed)
-        core_.guard.on_completed(ended.call.content);
+        core_.guard.on_completed(ended.call.content, now);
     if (result.crashed)
         report_crash(ended);
 }
