Daemon: recognise the end of an upstream that still accepts connections

The check that follows a broken connection had still been accepted: a process that ends closes its connections before its listening socket.

An endpoint that accepts is checked again 20 ms later.

--- a/src/libpollenhall_io/upstream_client.cpp
+++ b/src/libpollenhall_io/upstream_client.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <thread>
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
@@ -19,6 +20,9 @@
 
 constexpr milliseconds connect_timeout{1'000};
 constexpr milliseconds timeout_tolerance{5};
+// A process that ends closes its connections before its listening socket. An
+// endpoint that still accepts is checked again after this time.
+constexpr milliseconds exit_delay{20};
 constexpr int too_many_requests = 429;
 constexpr int bad_gateway = 502;
 constexpr int service_unavailable = 503;
@@ -84,9 +88,9 @@
     return result;
 }
 
-// Whether a process listens at the endpoint. Connects without sending a
-// request, so that nothing runs.
-bool is_listening(upstream_endpoint const& endpoint)
+// Whether the endpoint accepts connections. Sends no request, so that nothing
+// runs.
+bool accepts_connections(upstream_endpoint const& endpoint)
 {
     asio::io_context context;
     asio::ip::tcp::socket probe(context);
@@ -96,6 +100,16 @@
     return error != asio::error::connection_refused;
 }
 
+// Whether the process at the endpoint has ended, after a connection to it
+// broke.
+bool has_ended(upstream_endpoint const& endpoint)
+{
+    if (!accepts_connections(endpoint))
+        return true;
+    std::this_thread::sleep_for(exit_delay);
+    return !accepts_connections(endpoint);
+}
+
 bool is_connect_error(httplib::Error error)
 {
     return error == httplib::Error::Connection ||
@@ -210,7 +224,7 @@
     // expire shortly before the deadline.
     bool const timed_out = mono_now() + timeout_tolerance >= call.deadline;
     if (!timed_out && !handle.is_cancelled())
-        broken.crashed = !is_listening(endpoint);
+        broken.crashed = has_ended(endpoint);
     return broken;
 }
 
