--- a/src/include/pollenhall/mesh/registration.hpp
+++ b/src/include/pollenhall/mesh/registration.hpp
@@ -13,6 +13,11 @@
 namespace pollenhall::mesh
 {
 
+/// Largest number of slots and longest warm-up that a document may state; what
+/// is beyond them is an error of its writer.
+inline constexpr int max_slots = 1'000'000;
+inline constexpr milliseconds max_cold_time{3'600'000};
+
 /// Identifies one start of an upstream. An upstream may reuse the identifier of
 /// its previous start.
 using incarnation_id = strong_value<struct incarnation_id_tag, std::string>;
--- a/src/pollenhall_sidecar/host_entry_json.cpp
+++ b/src/pollenhall_sidecar/host_entry_json.cpp
@@ -2,9 +2,9 @@
 
 #include "host_entry_json.hpp"
 
-#include <nlohmann/json.hpp>
+#include "json_numbers.hpp"
 
-#include <algorithm>
+#include <nlohmann/json.hpp>
 
 #include <asio/ip/address.hpp>
 
@@ -15,6 +15,10 @@
 
 using nlohmann::json;
 
+constexpr int max_port = 65'535;
+// An entry with the maximum number of suspicions has about 4 KB.
+constexpr std::size_t max_entry_bytes = 65'536;
+
 std::int64_t to_ms(wall_time time)
 {
     return std::chrono::duration_cast<milliseconds>(time.time_since_epoch())
@@ -40,21 +44,26 @@
             {"suspicions", suspicions}};
 }
 
-// Throws json::exception if a field is missing or has the wrong type.
+// Throws json::exception if a field is missing or has the wrong type, and
+// std::invalid_argument if a number is out of range.
 mesh::host_entry from_json(json const& item)
 {
     std::vector<mesh::published_suspicion> suspicions;
     for (auto const& part : item.at("suspicions"))
-        suspicions.push_back(
-            {.content = fingerprint(part.at(0).get<std::uint64_t>()),
-             .crash = crash_id(part.at(1).get<std::uint64_t>()),
-             .confirmed = part.size() < 4 || part.at(3).get<int>() != 0,
-             .expires =
-                 wall_time(milliseconds(part.at(2).get<std::int64_t>()))});
+        suspicions.push_back({.content = fingerprint(read_hash(part.at(0))),
+                              .crash = crash_id(read_hash(part.at(1))),
+                              .confirmed = part.size() < 4 ||
+                                           read_integer(part.at(3), 0, 1) != 0,
+                              .expires = wall_time(milliseconds(
+                                  read_integer(part.at(2), 0, max_epoch_ms)))});
     // Zero if the upstream did not report it.
-    auto const started_ms = item.value("started_ms", std::int64_t{0});
+    auto const started_ms =
+        item.contains("started_ms")
+            ? read_integer(item.at("started_ms"), 0, max_epoch_ms)
+            : 0;
     return {.host = mesh::host_address(item.at("host").get<std::string>()),
-            .gate_port = item.at("gate_port").get<int>(),
+            .gate_port = static_cast<int>(
+                read_integer(item.at("gate_port"), 1, max_port)),
             .zone = zone_name(item.at("zone").get<std::string>()),
             .service = service_name(item.at("service").get<std::string>()),
             .incarnation =
@@ -62,11 +71,12 @@
             .started = started_ms == 0
                            ? std::nullopt
                            : std::optional(wall_time(milliseconds(started_ms))),
-            .slots = item.at("slots").get<int>(),
+            .slots = static_cast<int>(
+                read_integer(item.at("slots"), 0, mesh::max_slots)),
             .ready = item.at("ready").get<bool>(),
-            .cold_remaining =
-                milliseconds(item.at("cold_ms").get<std::int64_t>()),
-            .boot = boot_id(item.at("boot").get<std::int64_t>()),
+            .cold_remaining = milliseconds(read_integer(
+                item.at("cold_ms"), 0, mesh::max_cold_time.count())),
+            .boot = boot_id(read_integer(item.at("boot"), 0, INT64_MAX)),
             .suspicions = std::move(suspicions)};
 }
 
@@ -74,9 +84,8 @@
 {
     std::error_code error;
     asio::ip::make_address(entry.host.value(), error);
-    if (error || entry.gate_port <= 0 || entry.gate_port > 65'535)
-        return absl::InvalidArgumentError(
-            "host entry has an invalid address or gate port");
+    if (error)
+        return absl::InvalidArgumentError("host entry has an invalid address");
     return absl::OkStatus();
 }
 
@@ -89,6 +98,9 @@
 
 absl::StatusOr<mesh::host_entry> parse_host_entry(std::string const& text)
 {
+    // Nested values cost about a hundred times their size while they are read.
+    if (text.size() > max_entry_bytes)
+        return absl::InvalidArgumentError("host entry is too long");
     try
     {
         auto entry = from_json(json::parse(text));
@@ -100,6 +112,10 @@
     {
         return absl::InvalidArgumentError(error.what());
     }
+    catch (std::invalid_argument const& error)
+    {
+        return absl::InvalidArgumentError(error.what());
+    }
 }
 
 std::string write_suspicions(std::vector<crash_suspicion> const& suspicions)
@@ -119,11 +135,10 @@
         std::vector<crash_suspicion> suspicions;
         for (auto const& part : json::parse(text))
             suspicions.push_back(
-                {.content = fingerprint(part.at(0).get<std::uint64_t>()),
-                 .crash = crash_id(part.at(1).get<std::uint64_t>()),
-                 .time_left =
-                     std::clamp(milliseconds(part.at(2).get<std::int64_t>()),
-                                milliseconds{0}, mesh::max_suspicion_lifetime),
+                {.content = fingerprint(read_hash(part.at(0))),
+                 .crash = crash_id(read_hash(part.at(1))),
+                 .time_left = milliseconds(read_integer(
+                     part.at(2), 0, mesh::max_suspicion_lifetime.count())),
                  .confirmed = part.at(3).get<bool>()});
         return suspicions;
     }
@@ -131,6 +146,10 @@
     {
         return absl::InvalidArgumentError(error.what());
     }
+    catch (std::invalid_argument const& error)
+    {
+        return absl::InvalidArgumentError(error.what());
+    }
 }
 
 } // namespace pollenhall::sidecar
