Sidecar: send a rejected request again on another connection only

Another operator reported an upstream that wrote an earlier refusal once more on a kept connection. It happens here: the id in the refusal tells it from answers to other requests, but a rejected request goes to the same upstream again under its own id, mostly on the same connection. The stale refusal was then taken for the answer, and a request that may run once ran twice (the new test counted three arrivals instead of two).

A connection remembers the requests that it has rejected and does not carry them again; after 64 of them it is closed.

--- a/src/pollenhall_sidecar/client_connection.cpp
+++ b/src/pollenhall_sidecar/client_connection.cpp
@@ -4,6 +4,7 @@
 
 #include <pollenhall/io/clocks.hpp>
 
+#include <algorithm>
 #include <cstdlib>
 
 #include <netinet/tcp.h>
@@ -27,6 +28,9 @@
 // probes after which the connection is closed.
 constexpr int keep_alive_idle_s = 2;
 constexpr int keep_alive_probes = 2;
+// Number of rejected requests after which a connection is not reused, so that
+// the list of them stays short.
+constexpr std::size_t max_rejected_ids = 64;
 
 using user_timeout_option =
     asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
@@ -226,11 +230,21 @@
                        .detail = "response to another request"},
                       false);
     update_keep_alive(response);
-    bool const reusable = response.keep_alive && request_sent_ && ends_cleanly;
+    if (request_.is_rejection && request_.is_rejection(response))
+        rejected_ids_.push_back(request_.id);
+    bool const reusable = response.keep_alive && request_sent_ &&
+                          ends_cleanly &&
+                          rejected_ids_.size() < max_rejected_ids;
     finish({.end = exchange_end::answered, .response = std::move(response)},
            reusable);
 }
 
+bool client_connection::has_rejected(std::string const& id) const
+{
+    return std::find(rejected_ids_.begin(), rejected_ids_.end(), id) !=
+           rejected_ids_.end();
+}
+
 void client_connection::update_keep_alive(mesh::http_response const& response)
 {
     auto const* keep_alive = response.fields.find("Keep-Alive");
--- a/src/pollenhall_sidecar/client_connection.hpp
+++ b/src/pollenhall_sidecar/client_connection.hpp
@@ -5,6 +5,8 @@
 #include "client_pool.hpp"
 
 #include <array>
+#include <string>
+#include <vector>
 
 namespace pollenhall::sidecar
 {
@@ -28,6 +30,8 @@
     void close();
 
     [[nodiscard]] bool is_closed() const { return closed_; }
+    /// Whether the request with this id was rejected on this connection.
+    [[nodiscard]] bool has_rejected(std::string const& id) const;
     [[nodiscard]] mono_time last_used() const { return last_used_; }
     /// Time until which the connection may be reused, according to the server's
     /// Keep-Alive header; unlimited if there is none.
@@ -58,6 +62,9 @@
     std::array<char, 4'096> buffer_{};
     exchange_request request_;
     std::size_t bytes_written_ = 0;
+    // Ids of the requests that were rejected on this connection; bounded,
+    // because it is closed when there are too many.
+    std::vector<std::string> rejected_ids_;
     deadline_timers::handle timeout_;
     mono_time last_used_{};
     mono_time keep_alive_until_ = mono_time::max();
--- a/src/pollenhall_sidecar/client_pool.cpp
+++ b/src/pollenhall_sidecar/client_pool.cpp
@@ -41,7 +41,7 @@
 
 std::shared_ptr<client_connection> client_pool::start(exchange_request request)
 {
-    auto connection = take_idle(request.allow_stale_connection);
+    auto connection = take_idle(request);
     if (!connection)
     {
         ++connections_opened_;
@@ -86,16 +86,20 @@
         exchange->cancel();
 }
 
-std::shared_ptr<client_connection> client_pool::take_idle(bool allow_stale)
+std::shared_ptr<client_connection>
+client_pool::take_idle(exchange_request const& request)
 {
     auto const now = mono_now();
-    while (!idle_.empty())
+    for (auto item = idle_.end(); item != idle_.begin();)
     {
-        auto connection = idle_.back();
-        if (!allow_stale &&
+        --item;
+        auto const connection = *item;
+        if (!request.allow_stale_connection &&
             now - connection->last_used() >= options_.stale_after)
             return nullptr;
-        idle_.pop_back();
+        if (connection->has_rejected(request.id))
+            continue;
+        item = idle_.erase(item);
         if (connection->is_closed())
             continue;
         if (now < connection->keep_alive_until())
--- a/src/pollenhall_sidecar/client_pool.hpp
+++ b/src/pollenhall_sidecar/client_pool.hpp
@@ -60,6 +60,12 @@
     // Returns whether a response belongs to this request; null accepts any.
     // Other responses are skipped, as a faulty upstream may send one twice.
     std::function<bool(mesh::http_response const&)> matches{};
+    // Id under which the request may be sent again; empty if it is not.
+    std::string id{};
+    // Whether a response rejects the request, so that it may be sent again;
+    // null if none does. It is not sent again on the same connection: a faulty
+    // server may write the rejection once more while it runs the request.
+    std::function<bool(mesh::http_response const&)> is_rejection{};
     std::function<void(exchange_result)> on_end;
 };
 
@@ -126,7 +132,9 @@
     friend class client_connection;
     void put_back(std::shared_ptr<client_connection> const& connection);
     void remove(client_connection const* connection);
-    std::shared_ptr<client_connection> take_idle(bool allow_stale);
+    // Returns an idle connection on which the request may be sent, or null.
+    std::shared_ptr<client_connection>
+    take_idle(exchange_request const& request);
     void schedule_prune();
 
     asio::io_context& context_;
--- a/src/pollenhall_sidecar/gate.cpp
+++ b/src/pollenhall_sidecar/gate.cpp
@@ -217,6 +217,10 @@
              auto const* echoed = response.fields.find(name);
              return echoed != nullptr && *echoed == id.value();
          },
+         .id = item.call.id.value(),
+         .is_rejection = [name = options_.headers.not_run](
+                             mesh::http_response const& response)
+         { return response.fields.find(name) != nullptr; },
          .on_end = [this, number](exchange_result result)
          { on_exchange_end(number, std::move(result)); }});
 }
--- a/src/pollenhall_sidecar/sidecar_test.cpp
+++ b/src/pollenhall_sidecar/sidecar_test.cpp
@@ -47,6 +47,9 @@
         respond_twice,
         fail,
         reject,
+        // Writes the last rejection on this connection once more, if there is
+        // one, and then responds.
+        reject_again,
         disconnect,
         // Closes the connection and refuses new ones, as if the process had
         // ended.
@@ -123,7 +126,11 @@
             response.fields.add(names.signature, "s");
         if (action == step::fail)
             response.status = 500;
-        auto const bytes = mesh::write_response(response, request.method);
+        auto bytes = mesh::write_response(response, request.method);
+        if (action == step::reject)
+            rejections_.insert_or_assign(from, bytes);
+        if (action == step::reject_again && rejections_.contains(from))
+            bytes = rejections_.at(from) + bytes;
         received.push_back(std::move(request));
 
         if (action == step::crash)
@@ -149,6 +156,8 @@
         std::string response;
     };
     std::vector<pending_request> pending_;
+    // Last rejection on each connection.
+    std::map<std::shared_ptr<server_connection>, std::string> rejections_;
 };
 
 mesh::route make_route(char const* prefix, bool idempotent)
@@ -666,6 +675,29 @@
     }
 }
 
+TEST_CASE("an upstream that writes an earlier rejection again")
+{
+    two_nodes nodes;
+    nodes.set_only_host(0);
+    nodes.first_upstream.script = {step::reject, step::reject_again};
+
+    SUBCASE("before it answers the same request, which it runs")
+    {
+        auto const result = nodes.call("POST", "/order/a");
+        CHECK(result.response.status == 200);
+        CHECK(nodes.request_count() == 2);
+    }
+    SUBCASE("before it answers another request, which it runs")
+    {
+        nodes.first_upstream.script = {step::reject, step::respond,
+                                       step::reject_again, step::reject_again};
+        CHECK(nodes.call("POST", "/order/a").response.status == 200);
+        CHECK(nodes.call("POST", "/order/b").response.status == 200);
+        CHECK(nodes.call("POST", "/order/c").response.status == 200);
+        CHECK(nodes.request_count() == 4);
+    }
+}
+
 TEST_CASE("a request that crashes upstreams")
 {
     two_nodes nodes;
