Sidecar: bound what is read of a response without end

An upstream may send bytes without end in a head or a body.

Response bodies are charged to the same memory budget as requests, and one that is large ends when the budget is exhausted. At most 64 responses that belong to other requests are skipped. Such an end is not taken for a broken connection, so that it raises no suspicion of a crash.

--- a/src/pollenhall_sidecar/client_connection.cpp
+++ b/src/pollenhall_sidecar/client_connection.cpp
@@ -28,6 +28,12 @@
 // probes after which the connection is closed.
 constexpr int keep_alive_idle_s = 2;
 constexpr int keep_alive_probes = 2;
+// Bodies up to this size are read even if the memory budget is exhausted, since
+// most responses are small and end soon.
+constexpr std::size_t small_body_bytes = 65'536;
+// Responses that are skipped before the one to the request: interim ones, and
+// those to earlier requests.
+constexpr int max_skipped_responses = 64;
 // Number of rejected requests after which a connection is not reused, so that
 // the list of them stays short.
 constexpr std::size_t max_rejected_ids = 64;
@@ -49,7 +55,8 @@
                                      client_pool_options const& options)
     : socket_(context), timers_(timers), pool_(std::move(pool)),
       options_(options),
-      reader_(mesh::http_reader::direction::response, options.reader)
+      reader_(mesh::http_reader::direction::response, options.reader),
+      memory_charge_(*options_.memory_budget)
 {
 }
 
@@ -106,6 +113,7 @@
 {
     busy_ = true;
     request_sent_ = false;
+    skipped_responses_ = 0;
     bytes_written_ = 0;
     request_ = std::move(request);
     if (connected_)
@@ -195,14 +203,26 @@
 {
     while (busy_ && !closed_ && !data.empty())
     {
-        switch (reader_.feed(data))
+        auto const status = reader_.feed(data);
+        memory_charge_.set(reader_.body_size());
+        switch (status)
         {
         case mesh::read_status::need_more:
+            if (memory_charge_.bytes() > small_body_bytes &&
+                options_.memory_budget->exhausted())
+                return finish({.end = exchange_end::too_large,
+                               .detail = "the memory budget is exhausted"},
+                              false);
             return;
         case mesh::read_status::complete:
             on_response(data.empty());
             break;
-        default:
+        case mesh::read_status::header_too_large:
+        case mesh::read_status::body_too_large:
+            return finish({.end = exchange_end::too_large,
+                           .detail = "header or body above the limit"},
+                          false);
+        case mesh::read_status::malformed:
             return finish(
                 {.end = exchange_end::broken, .detail = "not a valid response"},
                 false);
@@ -216,6 +236,11 @@
 void client_connection::on_response(bool ends_cleanly)
 {
     auto response = reader_.take_response();
+    memory_charge_.set(0);
+    if (++skipped_responses_ > max_skipped_responses)
+        return finish(
+            {.end = exchange_end::too_large, .detail = "too many responses"},
+            false);
     if (response.status < 200)
         return;
     bool const matches = !request_.matches || request_.matches(response);
@@ -264,6 +289,7 @@
         return;
     busy_ = false;
     timers_.cancel(timeout_);
+    memory_charge_.set(0);
     last_used_ = mono_now();
     auto const self = shared_from_this();
     auto const on_end = std::move(request_.on_end);
@@ -296,6 +322,7 @@
         return;
     closed_ = true;
     busy_ = false;
+    memory_charge_.set(0);
     timers_.cancel(timeout_);
     std::error_code error;
     // An error is ignored; the connection is no longer used.
--- a/src/pollenhall_sidecar/client_connection.hpp
+++ b/src/pollenhall_sidecar/client_connection.hpp
@@ -59,6 +59,10 @@
     std::weak_ptr<client_pool> pool_;
     client_pool_options const options_;
     mesh::http_reader reader_;
+    // The charge covers the response body that was read so far.
+    mesh::byte_budget::charge memory_charge_;
+    // Responses to the current request that were skipped.
+    int skipped_responses_ = 0;
     std::array<char, 4'096> buffer_{};
     exchange_request request_;
     std::size_t bytes_written_ = 0;
--- a/src/pollenhall_sidecar/client_pool.cpp
+++ b/src/pollenhall_sidecar/client_pool.cpp
@@ -21,8 +21,8 @@
 
 std::string_view to_string(exchange_end end)
 {
-    constexpr std::array<std::string_view, 4> names{"answered", "not_connected",
-                                                    "broken", "timed_out"};
+    constexpr std::array<std::string_view, 5> names{
+        "answered", "not_connected", "broken", "timed_out", "too_large"};
     return names.at(static_cast<std::size_t>(end));
 }
 
@@ -30,8 +30,10 @@
                          asio::ip::tcp::endpoint address,
                          client_pool_options options)
     : context_(context), timers_(timers), address_(std::move(address)),
-      options_(options)
+      options_(std::move(options))
 {
+    if (!options_.memory_budget)
+        options_.memory_budget = std::make_shared<mesh::byte_budget>();
 }
 
 client_pool::~client_pool()
--- a/src/pollenhall_sidecar/client_pool.hpp
+++ b/src/pollenhall_sidecar/client_pool.hpp
@@ -5,6 +5,7 @@
 
 #include "deadline_timers.hpp"
 
+#include <pollenhall/mesh/byte_budget.hpp>
 #include <pollenhall/mesh/http_reader.hpp>
 
 #include <functional>
@@ -27,7 +28,10 @@
     /// The connection was closed, or the data received is not a valid response
     /// to the request.
     broken,
-    timed_out
+    timed_out,
+    /// The response exceeds a limit of this process, which has closed the
+    /// connection.
+    too_large
 };
 
 std::string_view to_string(exchange_end end);
@@ -80,6 +84,9 @@
     milliseconds stale_after{1'500};
     std::size_t max_idle = 512;
     mesh::http_reader_limits reader{};
+    /// Budget that the buffered bytes of responses are charged to; unlimited if
+    /// null.
+    std::shared_ptr<mesh::byte_budget> memory_budget{};
 };
 
 class client_connection;
--- a/src/pollenhall_sidecar/control_node.cpp
+++ b/src/pollenhall_sidecar/control_node.cpp
@@ -31,6 +31,8 @@
 // Timeout of a health check, and the delay before the next one.
 constexpr milliseconds health_check_timeout{1'000};
 constexpr int max_health_checks = 3;
+// The response to a health check is read for its status and header only.
+constexpr std::size_t max_health_response_bytes = 65'536;
 // Slots of an upstream that was found by a health check and has no host entry.
 // The number is low; the first heartbeat replaces it within seconds.
 constexpr int assumed_slots = 32;
@@ -456,7 +458,9 @@
         return;
     if (!upstream_pool_)
         upstream_pool_ = std::make_shared<client_pool>(
-            context_, timers_, options_.upstream, client_pool_options{});
+            context_, timers_, options_.upstream,
+            client_pool_options{
+                .reader = {.body_bytes = max_health_response_bytes}});
     mesh::http_request request{.method = "GET", .target = service->health_path};
     request.fields.add("Host", options_.upstream.address().to_string());
     request.fields.add("Connection", "close");
--- a/src/pollenhall_sidecar/gate.cpp
+++ b/src/pollenhall_sidecar/gate.cpp
@@ -39,7 +39,8 @@
            gate_options options, node_metrics& metrics)
     : metrics_(metrics), timers_(timers), options_(std::move(options)),
       pool_(std::make_shared<client_pool>(
-          context, timers, options_.upstream_address, client_pool_options{})),
+          context, timers, options_.upstream_address,
+          client_pool_options{.memory_budget = options_.memory_budget})),
       queue_(options_.queue)
 {
 }
@@ -238,6 +239,8 @@
         return {.end = attempt_end::unknown, .reason = "upstream_broke_off"};
     case exchange_end::timed_out:
         return {.end = attempt_end::timed_out, .reason = "upstream_silent"};
+    case exchange_end::too_large:
+        return {.end = attempt_end::unknown, .reason = "response_too_large"};
     case exchange_end::answered:
         break;
     }
--- a/src/pollenhall_sidecar/gate.hpp
+++ b/src/pollenhall_sidecar/gate.hpp
@@ -25,6 +25,9 @@
     asio::ip::tcp::endpoint upstream_address;
     mesh::header_names headers;
     mesh::gate_queue_options queue{};
+    /// Budget that the buffered bytes of responses are charged to; unlimited if
+    /// null.
+    std::shared_ptr<mesh::byte_budget> memory_budget{};
     /// Maximum wait for a slot, as a fraction of the call's latency objective.
     double max_wait_fraction = 0.5;
     /// Maximum wait for a slot of a call that has no latency objective.
--- a/src/pollenhall_sidecar/origin_call.cpp
+++ b/src/pollenhall_sidecar/origin_call.cpp
@@ -201,6 +201,8 @@
         return {.end = attempt_end::unknown, .reason = "peer_broke_off"};
     case exchange_end::timed_out:
         return {.end = attempt_end::timed_out, .reason = "peer_silent"};
+    case exchange_end::too_large:
+        return {.end = attempt_end::unknown, .reason = "response_too_large"};
     case exchange_end::answered:
         break;
     }
--- a/src/pollenhall_sidecar/sidecar_test.cpp
+++ b/src/pollenhall_sidecar/sidecar_test.cpp
@@ -12,8 +12,11 @@
 
 #include <doctest/doctest.h>
 
+#include <array>
 #include <deque>
 
+#include <asio/write.hpp>
+
 namespace
 {
 
@@ -160,6 +163,67 @@
     std::map<std::shared_ptr<server_connection>, std::string> rejections_;
 };
 
+/// An upstream that answers with a prefix and then with the same bytes again
+/// and again, until the client closes the connection.
+class endless_upstream
+{
+public:
+    endless_upstream(asio::io_context& context, std::string prefix,
+                     std::string filler)
+        : acceptor_(context, {asio::ip::make_address("127.0.0.1"), 0}),
+          prefix_(std::move(prefix)), filler_(std::move(filler))
+    {
+        accept();
+    }
+
+    std::size_t bytes_sent = 0;
+    int closed = 0;
+
+    [[nodiscard]] asio::ip::tcp::endpoint address() const
+    {
+        return acceptor_.local_endpoint();
+    }
+
+private:
+    void accept()
+    {
+        acceptor_.async_accept(
+            [this](std::error_code error, asio::ip::tcp::socket socket)
+            {
+                if (error)
+                    return;
+                auto const peer =
+                    std::make_shared<asio::ip::tcp::socket>(std::move(socket));
+                peer->async_read_some(
+                    asio::buffer(request_),
+                    [this, peer](std::error_code failed, std::size_t)
+                    {
+                        if (!failed)
+                            send(peer, prefix_);
+                    });
+                accept();
+            });
+    }
+    void send(std::shared_ptr<asio::ip::tcp::socket> const& to,
+              std::string const& bytes)
+    {
+        asio::async_write(*to, asio::buffer(bytes),
+                          [this, to](std::error_code failed, std::size_t size)
+                          {
+                              bytes_sent += size;
+                              if (failed)
+                                  ++closed;
+                              else
+                                  send(to, filler_);
+                          });
+    }
+
+    asio::ip::tcp::acceptor acceptor_;
+    std::string prefix_;
+    std::string filler_;
+    std::array<char, 4'096> request_{};
+};
+
 mesh::route make_route(char const* prefix, bool idempotent)
 {
     return {.name = mesh::route_name(prefix),
@@ -675,6 +739,85 @@
     }
 }
 
+TEST_CASE("an upstream that sends bytes without end")
+{
+    two_nodes nodes;
+    std::string prefix = "HTTP/1.1 200 OK\r\n";
+    std::string filler;
+    // A head is at most 16 KB; a body is limited by the budget of 1.6 MB.
+    std::size_t max_bytes = std::size_t{4} * 1'024 * 1'024;
+
+    SUBCASE("in its status line")
+    {
+        prefix = "HTTP/1.1 200 ";
+        filler = std::string(1'000, 'O');
+    }
+    SUBCASE("in a header field")
+    {
+        prefix += "X-Long: ";
+        filler = std::string(1'000, 'x');
+    }
+    SUBCASE("in header fields")
+    {
+        filler = "X-Many: 1\r\n";
+    }
+    SUBCASE("before its response")
+    {
+        prefix.clear();
+        filler = std::string(1'000, '\n');
+    }
+    SUBCASE("in interim responses")
+    {
+        prefix.clear();
+        filler = "HTTP/1.1 100 Continue\r\n\r\n";
+    }
+    SUBCASE("in responses to other requests")
+    {
+        prefix.clear();
+        filler = "HTTP/1.1 200 OK\r\nTest-Id: 0\r\nContent-Length: 0\r\n\r\n";
+    }
+    SUBCASE("in a body without a length")
+    {
+        prefix += "Test-Id: 1\r\nTest-Signature: s\r\n\r\n";
+        filler = std::string(4'000, 'b');
+    }
+    SUBCASE("in a body of chunks")
+    {
+        prefix += "Test-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n";
+        filler = "400\r\n" + std::string(1'024, 'b') + "\r\n";
+    }
+    SUBCASE("in the extension of a chunk")
+    {
+        prefix += "Test-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n5;x=";
+        filler = std::string(1'000, 'e');
+    }
+    SUBCASE("in trailer fields")
+    {
+        prefix += "Test-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n";
+        filler = "X-Trailer: 1\r\n";
+    }
+    endless_upstream upstream(nodes.context, prefix, filler);
+    auto options = two_nodes::options("127.0.0.1", nodes.first_upstream);
+    options.upstream = upstream.address();
+    options.memory_limit_bytes = std::size_t{8} * 1'024 * 1'024;
+    traffic_node node(nodes.context, options, nodes.metrics);
+    REQUIRE(node.open().ok());
+    node.set_upstream(nodes.first_upstream.registration());
+    node.set_routes(std::make_shared<mesh::route_table const>(
+        mesh::configuration{.version = mesh::config_version(1),
+                            .routes = {make_route("/order/", false)}}));
+    node.set_hosts({nodes.hosts().front()});
+    nodes.caller = std::make_shared<client_pool>(
+        nodes.context, nodes.timers, options.outbound, client_pool_options{});
+    auto const began = mono_now();
+    auto const result = nodes.call("POST", "/order/a");
+    CHECK((result.response.status == 502 || result.response.status == 504));
+    CHECK(mono_now() - began < seconds{1});
+    nodes.run_until([&] { return upstream.closed > 0; });
+    CHECK(upstream.closed == 1);
+    CHECK(upstream.bytes_sent < max_bytes);
+}
+
 TEST_CASE("an upstream that writes an earlier rejection again")
 {
     two_nodes nodes;
--- a/src/pollenhall_sidecar/traffic_node.cpp
+++ b/src/pollenhall_sidecar/traffic_node.cpp
@@ -73,17 +73,19 @@
 traffic_node::traffic_node(asio::io_context& context, node_options options,
                            node_metrics& metrics)
     : metrics_(metrics), context_(context), options_(std::move(options)),
-      timers_(context), gate_(context, timers_,
-                              {.service = options_.service,
-                               .upstream_address = options_.upstream,
-                               .headers = options_.headers},
-                              metrics),
-      placement_({.own_zone = options_.zone, .own_host = options_.host}),
-      retry_allowance_(options_.retries),
+      timers_(context),
       memory_budget_(
           std::make_shared<mesh::byte_budget>(static_cast<std::size_t>(
               held_memory_fraction *
               static_cast<double>(options_.memory_limit_bytes)))),
+      gate_(context, timers_,
+            {.service = options_.service,
+             .upstream_address = options_.upstream,
+             .headers = options_.headers,
+             .memory_budget = memory_budget_},
+            metrics),
+      placement_({.own_zone = options_.zone, .own_host = options_.host}),
+      retry_allowance_(options_.retries),
       caller_listener_(
           context, timers_,
           {.on_request = [this](auto const& from, auto request)
@@ -283,7 +285,8 @@
                                     static_cast<std::uint16_t>(host.gate_port)),
             client_pool_options{.connect_timeout = peer_connect_timeout,
                                 .idle_timeout = peer_pool_idle_timeout,
-                                .stale_after = peer_pool_idle_timeout});
+                                .stale_after = peer_pool_idle_timeout,
+                                .memory_budget = memory_budget_});
     return pool;
 }
 
--- a/src/pollenhall_sidecar/traffic_node.hpp
+++ b/src/pollenhall_sidecar/traffic_node.hpp
@@ -106,6 +106,8 @@
     asio::io_context& context_;
     node_options options_;
     deadline_timers timers_;
+    // Limits the bytes of requests and responses buffered by connections.
+    std::shared_ptr<mesh::byte_budget> memory_budget_;
     gate gate_;
     mesh::placement placement_;
     mesh::retry_allowance retry_allowance_;
@@ -113,8 +115,6 @@
     mesh::response_stats response_stats_;
     std::shared_ptr<mesh::route_table const> routes_;
     std::map<mesh::host_address, std::shared_ptr<client_pool>> peer_pools_;
-    // Limits the bytes of requests and responses buffered by connections.
-    std::shared_ptr<mesh::byte_budget> memory_budget_;
     listener caller_listener_;
     listener peer_listener_;
     crash_guard crash_guard_;
