--- a/src/pollenhall_sidecar/client_pool.cpp
+++ b/src/pollenhall_sidecar/client_pool.cpp
@@ -95,7 +95,7 @@
     for (auto item = idle_.end(); item != idle_.begin();)
     {
         --item;
-        auto const connection = *item;
+        auto connection = *item;
         if (!request.allow_stale_connection &&
             now - connection->last_used() >= options_.stale_after)
             return nullptr;
