Daemon: keep crash suspicions beyond the process that saw the crash

Callers saw a request run on 7 upstreams that it ended, later than 3 s after the third, when the daemon beside each ended upstream was killed with it, and on 5 when all daemons were killed in turn twice (test_crashing_requests).

The suspicion record on the wire gets an optional field; older daemons ignore it and count possible crashes as confirmed.

--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -237,7 +237,12 @@
   /** Identifies the crash. */
   2: required i64 crash_id,
   /** Time until the suspicion expires, ms. */
-  3: required i32 time_left_ms
+  3: required i32 time_left_ms,
+  /**
+   * Whether the crash was observed; false if only the connection to the node
+   * beside the upstream was lost.
+   */
+  4: optional bool confirmed = true
 }
 
 /** Counters of one member and kind on one node since the node started. */
--- a/src/gen/peer_types.cpp
+++ b/src/gen/peer_types.cpp
@@ -3042,6 +3042,11 @@
 void suspicion_record::__set_time_left_ms(const int32_t val) {
   this->time_left_ms = val;
 }
+
+void suspicion_record::__set_confirmed(const bool val) {
+  this->confirmed = val;
+__isset.confirmed = true;
+}
 std::ostream& operator<<(std::ostream& out, const suspicion_record& obj)
 {
   obj.printTo(out);
@@ -3097,6 +3102,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->confirmed);
+          this->__isset.confirmed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3132,6 +3145,11 @@
   xfer += oprot->writeI32(this->time_left_ms);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.confirmed) {
+    xfer += oprot->writeFieldBegin("confirmed", ::apache::thrift::protocol::T_BOOL, 4);
+    xfer += oprot->writeBool(this->confirmed);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3142,28 +3160,38 @@
   swap(a.fingerprint, b.fingerprint);
   swap(a.crash_id, b.crash_id);
   swap(a.time_left_ms, b.time_left_ms);
+  swap(a.confirmed, b.confirmed);
+  swap(a.__isset, b.__isset);
 }
 
 suspicion_record::suspicion_record(const suspicion_record& other81) noexcept {
   fingerprint = other81.fingerprint;
   crash_id = other81.crash_id;
   time_left_ms = other81.time_left_ms;
+  confirmed = other81.confirmed;
+  __isset = other81.__isset;
 }
 suspicion_record::suspicion_record(suspicion_record&& other82) noexcept {
   fingerprint = other82.fingerprint;
   crash_id = other82.crash_id;
   time_left_ms = other82.time_left_ms;
+  confirmed = other82.confirmed;
+  __isset = other82.__isset;
 }
 suspicion_record& suspicion_record::operator=(const suspicion_record& other83) noexcept {
   fingerprint = other83.fingerprint;
   crash_id = other83.crash_id;
   time_left_ms = other83.time_left_ms;
+  confirmed = other83.confirmed;
+  __isset = other83.__isset;
   return *this;
 }
 suspicion_record& suspicion_record::operator=(suspicion_record&& other84) noexcept {
   fingerprint = other84.fingerprint;
   crash_id = other84.crash_id;
   time_left_ms = other84.time_left_ms;
+  confirmed = other84.confirmed;
+  __isset = other84.__isset;
   return *this;
 }
 void suspicion_record::printTo(std::ostream& out) const {
@@ -3172,6 +3200,7 @@
   out << "fingerprint=" << to_string(fingerprint);
   out << ", " << "crash_id=" << to_string(crash_id);
   out << ", " << "time_left_ms=" << to_string(time_left_ms);
+  out << ", " << "confirmed="; (__isset.confirmed ? (out << to_string(confirmed)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/gen/peer_types.h
+++ b/src/gen/peer_types.h
@@ -1201,6 +1201,10 @@
 
 std::ostream& operator<<(std::ostream& out, const peer_record& obj);
 
+typedef struct _suspicion_record__isset {
+  _suspicion_record__isset() : confirmed(true) {}
+  bool confirmed :1;
+} _suspicion_record__isset;
 
 /**
  * A request that was running on an upstream when it crashed.
@@ -1215,7 +1219,8 @@
   suspicion_record() noexcept
                    : fingerprint(0),
                      crash_id(0),
-                     time_left_ms(0) {
+                     time_left_ms(0),
+                     confirmed(true) {
   }
 
   virtual ~suspicion_record() noexcept;
@@ -1228,6 +1233,13 @@
    * Time until the suspicion expires, ms.
    */
   int32_t time_left_ms;
+  /**
+   * Whether the crash was observed; false if only the connection to the node
+   * beside the upstream was lost.
+   */
+  bool confirmed;
+
+  _suspicion_record__isset __isset;
 
   void __set_fingerprint(const int64_t val);
 
@@ -1235,6 +1247,8 @@
 
   void __set_time_left_ms(const int32_t val);
 
+  void __set_confirmed(const bool val);
+
   bool operator == (const suspicion_record & rhs) const
   {
     if (!(fingerprint == rhs.fingerprint))
@@ -1243,6 +1257,10 @@
       return false;
     if (!(time_left_ms == rhs.time_left_ms))
       return false;
+    if (__isset.confirmed != rhs.__isset.confirmed)
+      return false;
+    else if (__isset.confirmed && !(confirmed == rhs.confirmed))
+      return false;
     return true;
   }
   bool operator != (const suspicion_record &rhs) const {
--- a/src/include/pollenhall/crash_guard.hpp
+++ b/src/include/pollenhall/crash_guard.hpp
@@ -16,8 +16,8 @@
 namespace pollenhall
 {
 
-/// Identifies one crash of an upstream. All nodes derive the same id for the
-/// same crash, so that it counts once.
+/// Identifies one crash of an upstream, so that reports of it by several
+/// connections or nodes count once.
 using crash_id = strong_value<struct crash_id_tag, std::uint64_t>;
 
 /// A request fingerprint that was running on an upstream when it crashed.
--- a/src/include/pollenhall/io/upstream_client.hpp
+++ b/src/include/pollenhall/io/upstream_client.hpp
@@ -33,6 +33,8 @@
     call_result result;
     /// Whether the connection broke and the upstream no longer listens.
     bool crashed = false;
+    /// Whether the connection broke before a response was complete.
+    bool broken = false;
     /// Whether no connection to the upstream could be established.
     bool unreachable = false;
 };
--- a/src/include/pollenhall/membership.hpp
+++ b/src/include/pollenhall/membership.hpp
@@ -187,10 +187,11 @@
     /// Gossips the digest of a changed space. Returns the datagrams to send.
     std::vector<gossip_send> announce_space(space_digest const& digest,
                                             mono_time now);
-    /// Gossips a crash suspicion, unless this node has already done so. Returns
-    /// the datagrams to send.
+    /// Gossips a crash suspicion, unless this node has already done so, and
+    /// sends it to each process that contacts this node later. Returns the
+    /// datagrams to send.
     std::vector<gossip_send>
-    relay_crash_suspicion(crash_suspicion const& suspicion);
+    relay_crash_suspicion(crash_suspicion const& suspicion, mono_time now);
     /// Records the upstream state that a peer reported outside gossip. Ignored
     /// if the peer is unknown or has another boot id.
     void record_upstream_state(node_id const& node, boot_id boot,
@@ -280,6 +281,9 @@
                      peer_endpoint const& to);
     void answer_ping(sends& out, gossip_message const& message,
                      peer_endpoint const& from);
+    // Sends the suspicions to a process that contacts this node for the first
+    // time: it has started after they were gossiped.
+    void greet(sends& out, peer_info const& sender, mono_time now);
     void relay_ping(sends& out, gossip_message const& message,
                     peer_endpoint const& from, mono_time now);
     void accept_ack(sends& out, gossip_message const& message);
@@ -302,7 +306,15 @@
         queued_suspicions_;
     // Crash suspicions that this node has gossiped, latest last; bounded.
     std::deque<crash_suspicion_key> relayed_suspicion_order_;
-    std::set<crash_suspicion_key> relayed_suspicions_;
+    struct relayed_suspicion
+    {
+        bool confirmed = false;
+        mono_time expires{};
+    };
+    std::map<crash_suspicion_key, relayed_suspicion> relayed_suspicions_;
+    // Process of each node that has contacted this one and was sent the
+    // suspicions.
+    std::map<node_id, boot_id> greeted_;
     std::int64_t sequence_ = 0;
     mono_time next_probe_{};
     mono_time next_dead_probe_{};
--- a/src/libpollenhall/membership.cpp
+++ b/src/libpollenhall/membership.cpp
@@ -286,13 +286,18 @@
 }
 
 std::vector<gossip_send>
-membership::relay_crash_suspicion(crash_suspicion const& suspicion)
+membership::relay_crash_suspicion(crash_suspicion const& suspicion,
+                                  mono_time now)
 {
     sends out;
     crash_suspicion_key const key{suspicion.content, suspicion.crash};
-    if (!relayed_suspicions_.insert(key).second)
+    auto const [known, is_new] = relayed_suspicions_.try_emplace(key);
+    if (!is_new && (known->second.confirmed || !suspicion.confirmed))
         return out;
-    relayed_suspicion_order_.push_back(key);
+    known->second = {.confirmed = suspicion.confirmed,
+                     .expires = now + suspicion.time_left};
+    if (is_new)
+        relayed_suspicion_order_.push_back(key);
     if (relayed_suspicion_order_.size() > max_remembered_suspicions)
     {
         relayed_suspicions_.erase(relayed_suspicion_order_.front());
@@ -350,6 +355,7 @@
         merge(message.sender, now);
         return out;
     }
+    greet(out, message.sender, now);
     bool urgent = merge(message.sender, now);
     for (auto const& update : message.updates)
         urgent = merge(update, now) || urgent;
@@ -381,6 +387,34 @@
     return out;
 }
 
+void membership::greet(sends& out, peer_info const& sender, mono_time now)
+{
+    auto const [known, is_new] = greeted_.try_emplace(sender.node, sender.boot);
+    if (!is_new && known->second >= sender.boot)
+        return;
+    known->second = sender.boot;
+    std::vector<crash_suspicion> live;
+    for (auto const& [key, item] : relayed_suspicions_)
+        if (item.expires > now)
+            live.push_back(
+                {.content = key.first,
+                 .crash = key.second,
+                 .time_left = std::chrono::duration_cast<milliseconds>(
+                     item.expires - now),
+                 .confirmed = item.confirmed});
+    for (std::size_t start = 0; start < live.size();
+         start += max_suspicions_per_datagram)
+    {
+        auto const end =
+            std::min(start + max_suspicions_per_datagram, live.size());
+        auto message = make_message(gossip_kind::rumour);
+        message.suspicions.assign(
+            live.begin() + static_cast<std::ptrdiff_t>(start),
+            live.begin() + static_cast<std::ptrdiff_t>(end));
+        send_to(out, sender.endpoint, std::move(message));
+    }
+}
+
 void membership::compare_table_hashes(sends& out, gossip_message const& message,
                                       peer_endpoint const& from, mono_time now)
 {
--- a/src/libpollenhall/membership_test.cpp
+++ b/src/libpollenhall/membership_test.cpp
@@ -302,3 +302,42 @@
         CHECK(item.is_superseded());
     }
 }
+
+TEST_CASE("a process that starts after a crash is told of the suspicions")
+{
+    membership node(make_info(0, 1, 1), {});
+    mono_time const now{seconds{1}};
+    crash_suspicion const seen{.content = fingerprint(7),
+                               .crash = crash_id(8),
+                               .time_left = seconds{600}};
+    node.relay_crash_suspicion(seen, now);
+    auto const contact = [&](std::int64_t boot, mono_time at)
+    {
+        gossip_message message;
+        message.sender = make_info(1, boot, 1);
+        std::vector<crash_suspicion> told;
+        for (auto const& item :
+             node.receive(message, message.sender.endpoint, at))
+            if (item.to == message.sender.endpoint)
+                told.insert(told.end(), item.message.suspicions.begin(),
+                            item.message.suspicions.end());
+        return told;
+    };
+    auto const told = contact(1, now + seconds{100});
+    REQUIRE(!told.empty());
+    CHECK(told[0].content == seen.content);
+    CHECK(told[0].time_left == seconds{500});
+
+    SUBCASE("once")
+    {
+        CHECK(contact(1, now + seconds{101}).empty());
+    }
+    SUBCASE("and so is the next process of that node")
+    {
+        CHECK_FALSE(contact(2, now + seconds{101}).empty());
+    }
+    SUBCASE("unless they have expired")
+    {
+        CHECK(contact(2, now + seconds{601}).empty());
+    }
+}
--- a/src/libpollenhall_io/upstream_client.cpp
+++ b/src/libpollenhall_io/upstream_client.cpp
@@ -223,7 +223,8 @@
     // The client's timeouts are truncated to whole milliseconds, so they may
     // expire shortly before the deadline.
     bool const timed_out = mono_now() + timeout_tolerance >= call.deadline;
-    if (!timed_out && !handle.is_cancelled())
+    broken.broken = !timed_out && !handle.is_cancelled();
+    if (broken.broken)
         broken.crashed = has_ended(endpoint);
     return broken;
 }
--- a/src/libpollenhall_io/wire_codec.cpp
+++ b/src/libpollenhall_io/wire_codec.cpp
@@ -116,6 +116,7 @@
         record.fingerprint = static_cast<std::int64_t>(item.content.value());
         record.crash_id = static_cast<std::int64_t>(item.crash.value());
         record.time_left_ms = static_cast<int>(item.time_left.count());
+        record.__set_confirmed(item.confirmed);
         datagram.suspicions.push_back(record);
     }
     datagram.table_hash = static_cast<std::int64_t>(message.table_hash);
@@ -142,7 +143,8 @@
             {.content =
                  fingerprint(static_cast<std::uint64_t>(record.fingerprint)),
              .crash = crash_id(static_cast<std::uint64_t>(record.crash_id)),
-             .time_left = milliseconds(record.time_left_ms)});
+             .time_left = milliseconds(record.time_left_ms),
+             .confirmed = record.confirmed});
     message.table_hash = static_cast<std::uint64_t>(datagram.table_hash);
     message.book_hash = static_cast<std::uint64_t>(datagram.book_hash);
     message.bucket_hashes.assign(datagram.bucket_hashes.begin(),
--- a/src/pollenhalld/call_driver.cpp
+++ b/src/pollenhalld/call_driver.cpp
@@ -81,8 +81,13 @@
     wait_timer_.async_wait(
         [self = shared_from_this()](asio::error_code error)
         {
-            if (!error && !self->finished_)
-                self->send(self->plan_.resume().lent);
+            if (error || self->finished_)
+                return;
+            // The news of a crash may have arrived after the call. With 2
+            // healthy upstreams only the number of crashes counts.
+            if (self->core_.guard.refuses(self->call_.content, 2, mono_now()))
+                return self->finish(make_refusal(refusal::quarantined));
+            self->send(self->plan_.resume().lent);
         });
 }
 
--- a/src/pollenhalld/call_entry.cpp
+++ b/src/pollenhalld/call_entry.cpp
@@ -8,6 +8,7 @@
 #include <asio/post.hpp>
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace pollenhall
@@ -385,10 +386,37 @@
         return [] {};
     }
     auto const endpoint = peer->second.endpoint;
-    auto const id = core_.links->call(endpoint, call, std::move(handler));
+    auto record_lost = [this, node, boot = peer->second.boot,
+                        content = call.content, deadline = call.deadline,
+                        handler = std::move(handler)](call_result result)
+    {
+        if (result.what == outcome::unknown && !result.from_peer &&
+            mono_now() < deadline)
+            on_call_lost(node, boot, content);
+        handler(std::move(result));
+    };
+    auto const id = core_.links->call(endpoint, call, std::move(record_lost));
     return [this, endpoint, id] { core_.links->cancel(endpoint, id); };
 }
 
+void call_entry::on_call_lost(node_id const& node, boot_id boot,
+                              fingerprint content)
+{
+    // A node ends once in each boot. The node beside the upstream makes its id
+    // from the incarnation of the upstream, which is not known here.
+    crash_id const possible_crash(combine_hashes(
+        hash_text(node.value()), static_cast<std::uint64_t>(boot.value())));
+    auto suspicions = core_.guard.on_crash(possible_crash, std::array{content},
+                                           mono_now(), false);
+    if (suspicions.empty())
+        return;
+    log_event("request_suspected")
+        .add("peer", node.value())
+        .add("content", static_cast<std::int64_t>(content.value() >> 1))
+        .add("confirmed", false);
+    core_.share_suspicions(std::move(suspicions));
+}
+
 attempt_canceller call_entry::send_to_home(forwarded_call const& call,
                                            call_handler handler)
 {
--- a/src/pollenhalld/call_entry.hpp
+++ b/src/pollenhalld/call_entry.hpp
@@ -116,6 +116,10 @@
     void record_end(open_call const& open, call_result const& result,
                     int retries);
     bool is_quarantined(forwarded_call const& call, node_view const& view);
+    // Records that the connection to a peer was lost during a call. The peer
+    // may have ended together with its upstream, and then nobody else knows the
+    // calls that were running there.
+    void on_call_lost(node_id const& node, boot_id boot, fingerprint content);
     attempt_canceller send_to_upstream(forwarded_call const& call,
                                        call_handler handler);
     attempt_canceller send_to_home(forwarded_call const& call,
--- a/src/pollenhalld/control_plane.cpp
+++ b/src/pollenhalld/control_plane.cpp
@@ -172,7 +172,7 @@
     for (auto const& suspicion : message.suspicions)
     {
         traffic_->add_suspicion(suspicion);
-        socket_.send(members_.relay_crash_suspicion(suspicion));
+        socket_.send(members_.relay_crash_suspicion(suspicion, now));
     }
     compare_book_hashes(message, message.sender.endpoint, now);
 }
@@ -269,7 +269,8 @@
                [this, suspicions = std::move(suspicions)]
                {
                    for (auto const& suspicion : suspicions)
-                       socket_.send(members_.relay_crash_suspicion(suspicion));
+                       socket_.send(members_.relay_crash_suspicion(suspicion,
+                                                                   mono_now()));
                });
 }
 
--- a/src/pollenhalld/local_runner.cpp
+++ b/src/pollenhalld/local_runner.cpp
@@ -18,6 +18,9 @@
 // Interval at which queued calls are checked for timeouts.
 constexpr milliseconds queue_check_interval{5};
 constexpr std::size_t max_idle_connections = 64;
+// If the upstream starts again, connections that broke within this time before
+// are attributed to its crash.
+constexpr milliseconds new_start_window{4'000};
 
 } // namespace
 
@@ -58,6 +61,8 @@
 {
     bool const restarted = upstream.incarnation != upstream_.incarnation ||
                            upstream.endpoint != upstream_.endpoint;
+    if (restarted)
+        report_broken_calls();
     upstream_ = upstream;
     // The queue's measurements of the previous process do not apply to the new
     // one. The queue can only be replaced while no call is in it or running.
@@ -153,6 +158,14 @@
 void local_runner::start(call_number number)
 {
     auto& item = calls_.at(number);
+    // The news of a crash may have arrived while the call was queued. With 2
+    // healthy upstreams only the number of crashes counts.
+    if (core_.guard.refuses(item.call.content, 2, mono_now()))
+    {
+        queue_->on_finished(number, mono_now(), false);
+        finish_refused(number, refusal::quarantined);
+        return;
+    }
     running_hop hop;
     hop.trace_id = item.call.trace_id;
     hop.member = item.call.member;
@@ -214,24 +227,38 @@
     if (result.result.what == outcome::completed)
         core_.guard.on_completed(ended.call.content, now);
     if (result.crashed)
-        report_crash(ended);
+    {
+        std::vector<fingerprint> in_flight{ended.call.content};
+        // The latest start comes first; the numbers of the calls are in order
+        // of arrival.
+        for (auto item = calls_.rbegin(); item != calls_.rend(); ++item)
+            if (item->second.hop)
+                in_flight.push_back(item->second.call.content);
+        report_crash(std::move(in_flight));
+        core_.report_unreachable();
+    }
+    else if (result.broken)
+        broken_calls_.push_back({.broken = now, .content = ended.call.content});
 }
 
-void local_runner::report_crash(local_call const& ended)
+void local_runner::report_broken_calls()
+{
+    auto const now = mono_now();
+    std::vector<fingerprint> in_flight;
+    for (auto const& item : std::exchange(broken_calls_, {}))
+        if (now - item.broken <= new_start_window)
+            in_flight.insert(in_flight.begin(), item.content);
+    if (!in_flight.empty())
+        report_crash(std::move(in_flight));
+}
+
+void local_runner::report_crash(std::vector<fingerprint> in_flight)
 {
     // All calls that fail in one crash get the same id, because it is made
     // from the incarnation of the upstream.
     auto const crash =
         crash_id(combine_hashes(hash_text(core_.settings.name.value()),
                                 hash_text(upstream_.incarnation)));
-    std::vector<fingerprint> in_flight{ended.call.content};
-    // `on_crash` expects the latest start first; the numbers of the calls are
-    // in order of arrival.
-    for (auto item = calls_.rbegin(); item != calls_.rend(); ++item)
-    {
-        if (item->second.hop)
-            in_flight.push_back(item->second.call.content);
-    }
     auto suspicions = core_.guard.on_crash(crash, in_flight, mono_now());
     if (!suspicions.empty())
     {
@@ -241,7 +268,6 @@
             .add("suspects", static_cast<std::int64_t>(suspicions.size()));
         core_.share_suspicions(std::move(suspicions));
     }
-    core_.report_unreachable();
 }
 
 void local_runner::count_run(local_call const& ended,
--- a/src/pollenhalld/local_runner.hpp
+++ b/src/pollenhalld/local_runner.hpp
@@ -80,7 +80,11 @@
     void finish_refused(call_number number, refusal reason);
     void process_exchange_result(local_call const& ended,
                                  exchange_result const& result, mono_time now);
-    void report_crash(local_call const& ended);
+    /// `in_flight` holds the requests that were running, latest start first.
+    void report_crash(std::vector<fingerprint> in_flight);
+    // Reports a crash if connections broke shortly before the upstream started
+    // again.
+    void report_broken_calls();
     void count_run(local_call const& ended, exchange_result const& result,
                    mono_time now);
     void record_result(forwarded_call const& call, call_result const& result,
@@ -98,6 +102,14 @@
     elastic_pool pool_;
     asio::steady_timer queue_check_timer_;
     bool queue_check_scheduled_ = false;
+    // A call whose connection to the upstream broke a short time ago, although
+    // the upstream goes on accepting connections.
+    struct broken_call
+    {
+        mono_time broken{};
+        fingerprint content;
+    };
+    std::vector<broken_call> broken_calls_;
     std::uint64_t next_number_ = 1;
     // All calls from `run` until their handler is called.
     std::map<call_number, local_call> calls_;
