Daemon: read responses of upstreams within limits and on safe connections

A rejection that an upstream wrote once more on a kept connection was taken for the response to the next call: a call with a key that ran was reported as not run. And an upstream that sent bytes without end in a head held a thread and its memory for good, since cpp-httplib limits the time of each read and not the size of a header; a body was read past the deadline.

The exchange uses http_reader on a connection of its own now (cpp-httplib has no limit to set): the deadline applies to the whole response, a header has at most 64 KB, a body 64 MB. A call with a key gets a new connection, others only one on which nothing has arrived since the last response. What remains: for a call without a key, bytes that arrive after it was sent cannot be told from its response, because the contract has no id in responses.

--- a/src/include/pollenhall/io/upstream_client.hpp
+++ b/src/include/pollenhall/io/upstream_client.hpp
@@ -9,14 +9,11 @@
 #include <mutex>
 #include <vector>
 
-namespace httplib
-{
-class Client;
-}
-
 namespace pollenhall
 {
 
+class upstream_connection;
+
 /// Address at which the upstream listens.
 struct upstream_endpoint
 {
@@ -51,7 +48,7 @@
     friend class upstream_client;
 
     mutable std::mutex mutex_;
-    std::shared_ptr<httplib::Client> client_;
+    std::shared_ptr<upstream_connection> connection_;
     bool cancelled_ = false;
 };
 
@@ -65,7 +62,10 @@
     upstream_client& operator=(upstream_client const&) = delete;
 
     /// Sends `call` with the additional headers `extra` and waits for the whole
-    /// response until the call's deadline.
+    /// response until the call's deadline. A call with an idempotency key gets
+    /// a connection of its own: a faulty upstream may write the rejection of an
+    /// earlier call once more on a kept connection, and a call that is taken
+    /// for rejected although it runs would run twice.
     exchange_result exchange(upstream_endpoint const& endpoint,
                              forwarded_call const& call,
                              std::vector<http_header> const& extra,
@@ -75,13 +75,14 @@
     struct idle_connection
     {
         upstream_endpoint endpoint;
-        std::shared_ptr<httplib::Client> client;
+        std::shared_ptr<upstream_connection> connection;
     };
 
-    std::shared_ptr<httplib::Client>
-    acquire_connection(upstream_endpoint const& endpoint);
+    // Returns an idle connection, or a new one; null if it cannot be opened.
+    std::shared_ptr<upstream_connection>
+    acquire_connection(upstream_endpoint const& endpoint, bool new_connection);
     void release_connection(upstream_endpoint const& endpoint,
-                            std::shared_ptr<httplib::Client> client);
+                            std::shared_ptr<upstream_connection> connection);
 
     std::size_t max_idle_connections_;
     std::mutex mutex_;
--- a/src/libpollenhall_io/upstream_client.cpp
+++ b/src/libpollenhall_io/upstream_client.cpp
@@ -1,4 +1,7 @@
-// Implements `upstream_client` with cpp-httplib.
+// Implements the pool of connections to the upstream, and the conversion of
+// calls to HTTP messages.
+
+#include "upstream_connection.hpp"
 
 #include <pollenhall/io/clocks.hpp>
 #include <pollenhall/io/http_names.hpp>
@@ -11,7 +14,6 @@
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
-#include <httplib.h>
 
 namespace pollenhall
 {
@@ -19,7 +21,6 @@
 {
 
 constexpr milliseconds connect_timeout{1'000};
-constexpr milliseconds timeout_tolerance{5};
 // A process that ends closes its connections before its listening socket. An
 // endpoint that still accepts is checked again after this time.
 constexpr milliseconds exit_delay{20};
@@ -28,48 +29,47 @@
 constexpr int service_unavailable = 503;
 constexpr int gateway_timeout = 504;
 
-std::shared_ptr<httplib::Client> connect(upstream_endpoint const& endpoint)
+mesh::http_request make_request(upstream_endpoint const& endpoint,
+                                forwarded_call const& call,
+                                std::vector<http_header> const& extra)
 {
-    auto client =
-        std::make_shared<httplib::Client>(endpoint.address, endpoint.port);
-    client->set_keep_alive(true);
-    client->set_tcp_nodelay(true);
-    client->set_decompress(false);
-    client->set_url_encode(false);
-    client->set_connection_timeout(connect_timeout);
-    return client;
-}
-
-httplib::Request make_request(forwarded_call const& call,
-                              std::vector<http_header> const& extra)
-{
-    httplib::Request request;
-    request.method = call.method;
-    request.path = "/" + call.kind.kind.value() + call.target;
-    if (call.body)
-        request.body = *call.body;
+    mesh::http_request request{.method = call.method,
+                               .target =
+                                   "/" + call.kind.kind.value() + call.target};
+    request.fields.add("Host",
+                       endpoint.address + ":" + std::to_string(endpoint.port));
     for (auto const& header : call.headers)
-        request.headers.emplace(header.name, header.value);
+        request.fields.add(header.name, header.value);
     for (auto const& header : extra)
-        request.headers.emplace(header.name, header.value);
+        request.fields.add(header.name, header.value);
+    if (call.key)
+        request.fields.set("Connection", "close");
+    if (call.body)
+        request.body = *call.body;
     return request;
 }
 
-milliseconds retry_after_of(httplib::Response const& response)
+std::string header_value(mesh::http_response const& response,
+                         std::string_view name)
+{
+    auto const* value = response.fields.find(std::string(name));
+    return value == nullptr ? std::string() : *value;
+}
+
+milliseconds retry_after_of(mesh::http_response const& response)
 {
     constexpr std::int64_t max_retry_after_seconds = 3'600;
-    auto const text = response.get_header_value("Retry-After");
+    auto const text = header_value(response, "Retry-After");
     std::int64_t value = 0;
     std::from_chars(text.data(), text.data() + text.size(), value);
     return seconds(std::clamp<std::int64_t>(value, 0, max_retry_after_seconds));
 }
 
-call_result read_response(httplib::Response&& response)
+call_result read_response(mesh::http_response&& response)
 {
     call_result result;
-    bool const was_shed =
-        response.get_header_value(std::string(http_names::outcome)) ==
-        to_string(outcome::not_run);
+    bool const was_shed = header_value(response, http_names::outcome) ==
+                          to_string(outcome::not_run);
     if (was_shed && (response.status == service_unavailable ||
                      response.status == too_many_requests))
         return make_refusal(refusal::upstream_refused,
@@ -79,10 +79,11 @@
     result.upstream_failed = response.status == bad_gateway ||
                              response.status == service_unavailable ||
                              response.status == gateway_timeout;
-    for (auto const& [name, value] : response.headers)
+    for (auto const& field : response.fields.all())
     {
-        if (!is_hop_by_hop(name))
-            result.headers.push_back({.name = name, .value = value});
+        if (!is_hop_by_hop(field.name))
+            result.headers.push_back(
+                {.name = field.name, .value = field.value});
     }
     result.body = std::move(response.body);
     return result;
@@ -110,13 +111,6 @@
     return !accepts_connections(endpoint);
 }
 
-bool is_connect_error(httplib::Error error)
-{
-    return error == httplib::Error::Connection ||
-           error == httplib::Error::ConnectionTimeout ||
-           error == httplib::Error::BindIPAddress;
-}
-
 } // namespace
 
 bool is_hop_by_hop(std::string_view name)
@@ -142,8 +136,8 @@
 {
     std::lock_guard const lock(mutex_);
     cancelled_ = true;
-    if (client_)
-        client_->stop();
+    if (connection_)
+        connection_->abort();
 }
 
 bool exchange_handle::is_cancelled() const
@@ -159,28 +153,35 @@
 
 upstream_client::~upstream_client() = default;
 
-std::shared_ptr<httplib::Client>
-upstream_client::acquire_connection(upstream_endpoint const& endpoint)
+std::shared_ptr<upstream_connection>
+upstream_client::acquire_connection(upstream_endpoint const& endpoint,
+                                    bool new_connection)
 {
+    if (!new_connection)
     {
         std::lock_guard const lock(mutex_);
         while (!idle_.empty())
         {
             auto item = std::move(idle_.back());
             idle_.pop_back();
-            if (item.endpoint == endpoint)
-                return item.client;
+            if (item.endpoint == endpoint && item.connection->is_reusable())
+                return item.connection;
         }
     }
-    return connect(endpoint);
+    auto connection = std::make_shared<upstream_connection>();
+    if (!connection->connect(endpoint, connect_timeout))
+        return nullptr;
+    return connection;
 }
 
 void upstream_client::release_connection(
-    upstream_endpoint const& endpoint, std::shared_ptr<httplib::Client> client)
+    upstream_endpoint const& endpoint,
+    std::shared_ptr<upstream_connection> connection)
 {
     std::lock_guard const lock(mutex_);
-    if (idle_.size() < max_idle_connections_)
-        idle_.push_back({.endpoint = endpoint, .client = std::move(client)});
+    if (idle_.size() < max_idle_connections_ && connection->is_reusable())
+        idle_.push_back(
+            {.endpoint = endpoint, .connection = std::move(connection)});
 }
 
 exchange_result upstream_client::exchange(upstream_endpoint const& endpoint,
@@ -188,45 +189,38 @@
                                           std::vector<http_header> const& extra,
                                           exchange_handle& handle)
 {
-    auto client = acquire_connection(endpoint);
+    auto connection = acquire_connection(endpoint, call.key.has_value());
+    if (!connection)
+        return {.result = make_refusal(refusal::no_upstream),
+                .unreachable = true};
     {
         std::lock_guard const lock(handle.mutex_);
         if (handle.cancelled_)
             return {.result = make_refusal(refusal::cancelled)};
-        handle.client_ = client;
+        handle.connection_ = connection;
     }
-    auto const left =
-        std::chrono::duration_cast<milliseconds>(call.deadline - mono_now());
-    if (left <= milliseconds{0})
+    if (mono_now() >= call.deadline)
         return {.result = make_refusal(refusal::deadline)};
-    client->set_read_timeout(left);
-    client->set_write_timeout(left);
-    auto request = make_request(call, extra);
-    httplib::Response response;
-    auto error = httplib::Error::Success;
-    bool const answered = client->send(request, response, error);
+    mesh::http_response response;
+    auto const end = connection->request(
+        mesh::write_request(make_request(endpoint, call, extra)),
+        call.method == "HEAD", call.deadline, response);
     {
         std::lock_guard const lock(handle.mutex_);
-        handle.client_.reset();
+        handle.connection_.reset();
     }
-    if (answered)
+    if (end == request_end::answered)
     {
         if (!handle.is_cancelled())
-            release_connection(endpoint, std::move(client));
+            release_connection(endpoint, std::move(connection));
         return {.result = read_response(std::move(response))};
     }
-    if (is_connect_error(error))
-        return {.result = make_refusal(refusal::no_upstream),
-                .unreachable = true};
-    exchange_result broken{.result = make_unknown_result()};
-    broken.result.upstream_failed = true;
-    // The client's timeouts are truncated to whole milliseconds, so they may
-    // expire shortly before the deadline.
-    bool const timed_out = mono_now() + timeout_tolerance >= call.deadline;
-    broken.broken = !timed_out && !handle.is_cancelled();
-    if (broken.broken)
-        broken.crashed = has_ended(endpoint);
-    return broken;
+    exchange_result failed{.result = make_unknown_result()};
+    failed.result.upstream_failed = true;
+    failed.broken = end == request_end::broken && !handle.is_cancelled();
+    if (failed.broken)
+        failed.crashed = has_ended(endpoint);
+    return failed;
 }
 
 } // namespace pollenhall
