--- a/testsuite/test_crashing_requests.py
+++ b/testsuite/test_crashing_requests.py
@@ -36,7 +36,7 @@
 
 
 def late_crashes(crash_times, since=0.0):
-    """Returns the crashes later than SPREAD_TIME_S after the third, and `since`."""
+    """Returns the crashes long after the third, and after `since`."""
     if len(crash_times) < CRASHES_BEFORE_LIMIT:
         return []
     limit = max(crash_times[CRASHES_BEFORE_LIMIT - 1], since) + SPREAD_TIME_S
