Test of a slow response: send it slowly

A byte is sent each millisecond now, 1,000 s for the whole response, so that only the deadline can end it.

--- a/src/libpollenhall_io/upstream_client_test.cpp
+++ b/src/libpollenhall_io/upstream_client_test.cpp
@@ -16,6 +16,7 @@
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 
 namespace
@@ -67,9 +68,12 @@
     using script = std::function<std::string(int earlier)>;
 
     /// If `filler` is not empty, it is sent again and again after the script's
-    /// bytes, until the client closes the connection.
-    explicit scripted_upstream(script respond, std::string filler = {})
+    /// bytes, each time after `filler_delay`, until the client closes the
+    /// connection.
+    explicit scripted_upstream(script respond, std::string filler = {},
+                               milliseconds filler_delay = milliseconds{0})
         : respond_(std::move(respond)), filler_(std::move(filler)),
+          filler_delay_(filler_delay),
           acceptor_(context_, {asio::ip::make_address("127.0.0.1"), 0})
     {
         accept();
@@ -138,13 +142,27 @@
                               if (filler_.empty())
                                   return read(to);
                               to->output = filler_;
-                              write(to);
+                              write_later(to);
                           });
     }
+    void write_later(std::shared_ptr<connection> const& to)
+    {
+        if (filler_delay_ == milliseconds{0})
+            return write(to);
+        filler_timer_.expires_after(filler_delay_);
+        filler_timer_.async_wait(
+            [this, to](asio::error_code error)
+            {
+                if (!error)
+                    write(to);
+            });
+    }
 
     script respond_;
     std::string filler_;
+    milliseconds filler_delay_;
     asio::io_context context_;
+    asio::steady_timer filler_timer_{context_};
     tcp::acceptor acceptor_;
     std::thread thread_;
 };
@@ -248,6 +266,7 @@
 {
     std::string prefix = "HTTP/1.1 200 OK\r\n";
     std::string filler;
+    milliseconds filler_delay{0};
     // A head is at most 64 KB; the rest is in buffers of the kernel.
     std::size_t max_bytes = std::size_t{16} * 1'024 * 1'024;
 
@@ -287,8 +306,10 @@
         // The deadline applies to the whole response, not to each read.
         prefix += "Content-Length: 1000000\r\n\r\n";
         filler = "b";
+        filler_delay = milliseconds{1};
     }
-    scripted_upstream upstream([&](int) { return prefix; }, filler);
+    scripted_upstream upstream([&](int) { return prefix; }, filler,
+                               filler_delay);
     auto const began = mono_now();
     auto const result = call(upstream.endpoint());
     CHECK(result.result.what == outcome::unknown);
