--- a/testsuite/test_crashing_requests.py
+++ b/testsuite/test_crashing_requests.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import http.client
 import itertools
 import pathlib
 import signal
@@ -18,7 +19,7 @@
 import aiohttp
 
 from case import DeploymentTestCase
-from deployment import ROOT, wait_until
+from deployment import ROOT, make_idempotency_key, wait_until
 
 sys.path.insert(0, str(ROOT / "testsuite" / "soak"))
 
@@ -33,6 +34,8 @@
 MAX_LATE_RUNS = 3
 CRASHES_BEFORE_LIMIT = 3
 SEND_INTERVAL_S = 0.15
+# Pause of a node; shorter than the time until the platform replaces it.
+PAUSE_S = 3.0
 
 
 def late_crashes(crash_times, since=0.0):
@@ -147,6 +150,43 @@
         await asyncio.gather(*self.background)
         self.check_crashes()
 
+    async def test_quarantine_survives_planned_stops(self):
+        self.run_in_background(self.send_everywhere("/leaf/poison", 30))
+        await asyncio.sleep(3)
+        await self.restart_all_in_turn(signal.SIGTERM)
+        await asyncio.gather(*self.background)
+        self.check_crashes()
+
+    async def test_quarantine_survives_the_end_of_all_nodes_at_once(self):
+        self.run_in_background(self.send_everywhere("/leaf/poison", 20))
+        for _ in range(3):
+            await asyncio.sleep(4)
+            for node in self.nodes:
+                node.send_signal(signal.SIGKILL)
+        await asyncio.gather(*self.background)
+        self.check_crashes()
+
+    async def test_node_is_paused_with_each_crashed_upstream(self):
+        def pause(node):
+            node.send_signal(signal.SIGSTOP)
+            asyncio.get_running_loop().call_later(
+                PAUSE_S, node.send_signal, signal.SIGCONT)
+
+        for node in self.nodes:
+            node.on_upstream_crash = pause
+        await self.send_everywhere("/leaf/poison", 14)
+        self.check_crashes()
+
+    async def test_store_loses_responses_while_nodes_restart(self):
+        self.fleet.store.fault = "lossy"
+        self.run_in_background(self.send_everywhere("/leaf/poison", 20))
+        await asyncio.sleep(3)
+        await self.restart_all_in_turn(signal.SIGKILL)
+        self.fleet.store.fault = None
+        back = time.monotonic()
+        await asyncio.gather(*self.background)
+        self.check_crashes(since=back)
+
     async def test_node_is_killed_with_each_crashed_upstream(self):
         for node in self.nodes:
             node.on_upstream_crash = (
@@ -228,18 +268,23 @@
     def restart_daemon(self, node):
         node.daemon.kill()
         time.sleep(RESTART_DELAY_S)
+        self.start_daemon(node)
+
+    def start_daemon(self, node):
         seeds = [other.peer_port for other in self.deployment.nodes.values()
                  if other is not node]
         self.deployment.start_daemon(node, seeds)
 
-    def send_everywhere(self, for_s):
+    def send_everywhere(self, for_s, kind="stock/read", keyed=False):
+        """Sends one request again and again; each time with a new key."""
         end = time.monotonic() + for_s
         for node in itertools.cycle(list(self.deployment.nodes.values())):
             if time.monotonic() >= end:
                 return
+            key = make_idempotency_key() if keyed else None
             try:
-                self.deployment.call(node, "stock/read", self.body, timeout=3)
-            except OSError:
+                self.deployment.call(node, kind, self.body, key, timeout=3)
+            except (OSError, http.client.HTTPException):
                 pass
             time.sleep(SEND_INTERVAL_S)
 
@@ -255,6 +300,14 @@
         self.send_everywhere(10)
         self.check_crashes()
 
+    def test_crashing_request_that_may_run_once(self):
+        self.send_everywhere(10, "stock/once", keyed=True)
+        self.check_crashes()
+
+    def test_crashing_call_of_an_upstream(self):
+        self.send_everywhere(10, "front/buy", keyed=True)
+        self.check_crashes()
+
     def test_quarantine_survives_killed_daemons(self):
         sender = threading.Thread(target=self.send_everywhere, args=(20,))
         sender.start()
@@ -265,6 +318,32 @@
         sender.join()
         self.check_crashes()
 
+    def test_quarantine_survives_planned_stops(self):
+        sender = threading.Thread(target=self.send_everywhere, args=(30,))
+        sender.start()
+        time.sleep(3)
+        for node in list(self.deployment.nodes.values()):
+            node.daemon.stop()
+            time.sleep(RESTART_DELAY_S)
+            self.start_daemon(node)
+            time.sleep(1.5)
+        sender.join()
+        self.check_crashes()
+
+    def test_quarantine_survives_the_end_of_all_daemons_at_once(self):
+        sender = threading.Thread(target=self.send_everywhere, args=(24,))
+        sender.start()
+        for _ in range(3):
+            time.sleep(6)
+            nodes = list(self.deployment.nodes.values())
+            for node in nodes:
+                node.daemon.kill()
+            time.sleep(RESTART_DELAY_S)
+            for node in nodes:
+                self.start_daemon(node)
+        sender.join()
+        self.check_crashes()
+
     def test_daemon_is_killed_with_each_crashed_upstream(self):
         self.on_crash = self.restart_daemon
         self.send_everywhere(14)
