Daemon: tell peers of crash suspicions that they missed

Such a node sends the request on, and its upstream ends.

Cause: a suspicion was sent a few times when it was new and to each process at its first contact; nothing found out later that it was missed. The first contact also sent everything from every node, up to 256 datagrams each.

Peers compare a hash of the suspicions in each ping and ack, as they do for the table of members, and send what the other one may miss: at most 64 at once, those of requests that ran at several crashes first. That replaces the message at the first contact. The suspicions of one crash are gossiped together instead of four datagrams for each. The hash is an optional field; peers without it are not sent anything beyond the gossip.

The test of the first contact is rewritten for the hash, with the same cases and three more (rumours, older versions, a bounded rate).

--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -446,5 +446,7 @@
   /** In a sync: hash of each bucket of the sender's membership table. */
   11: required list<i64> bucket_hashes,
   /** In a sync: whether the receiver must answer with its own hashes. */
-  12: required bool reply_wanted
+  12: required bool reply_wanted,
+  /** Hash over the crash suspicions that the sender knows. */
+  13: optional i64 suspicion_hash
 }
--- a/src/gen/peer_types.cpp
+++ b/src/gen/peer_types.cpp
@@ -5860,6 +5860,11 @@
 void gossip_datagram::__set_reply_wanted(const bool val) {
   this->reply_wanted = val;
 }
+
+void gossip_datagram::__set_suspicion_hash(const int64_t val) {
+  this->suspicion_hash = val;
+__isset.suspicion_hash = true;
+}
 std::ostream& operator<<(std::ostream& out, const gossip_datagram& obj)
 {
   obj.printTo(out);
@@ -6046,6 +6051,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->suspicion_hash);
+          this->__isset.suspicion_hash = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6167,6 +6180,11 @@
   xfer += oprot->writeBool(this->reply_wanted);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.suspicion_hash) {
+    xfer += oprot->writeFieldBegin("suspicion_hash", ::apache::thrift::protocol::T_I64, 13);
+    xfer += oprot->writeI64(this->suspicion_hash);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6186,6 +6204,8 @@
   swap(a.book_hash, b.book_hash);
   swap(a.bucket_hashes, b.bucket_hashes);
   swap(a.reply_wanted, b.reply_wanted);
+  swap(a.suspicion_hash, b.suspicion_hash);
+  swap(a.__isset, b.__isset);
 }
 
 gossip_datagram::gossip_datagram(const gossip_datagram& other192) {
@@ -6201,6 +6221,8 @@
   book_hash = other192.book_hash;
   bucket_hashes = other192.bucket_hashes;
   reply_wanted = other192.reply_wanted;
+  suspicion_hash = other192.suspicion_hash;
+  __isset = other192.__isset;
 }
 gossip_datagram::gossip_datagram(gossip_datagram&& other193) noexcept {
   protocol_version = other193.protocol_version;
@@ -6215,6 +6237,8 @@
   book_hash = other193.book_hash;
   bucket_hashes = std::move(other193.bucket_hashes);
   reply_wanted = other193.reply_wanted;
+  suspicion_hash = other193.suspicion_hash;
+  __isset = other193.__isset;
 }
 gossip_datagram& gossip_datagram::operator=(const gossip_datagram& other194) {
   protocol_version = other194.protocol_version;
@@ -6229,6 +6253,8 @@
   book_hash = other194.book_hash;
   bucket_hashes = other194.bucket_hashes;
   reply_wanted = other194.reply_wanted;
+  suspicion_hash = other194.suspicion_hash;
+  __isset = other194.__isset;
   return *this;
 }
 gossip_datagram& gossip_datagram::operator=(gossip_datagram&& other195) noexcept {
@@ -6244,6 +6270,8 @@
   book_hash = other195.book_hash;
   bucket_hashes = std::move(other195.bucket_hashes);
   reply_wanted = other195.reply_wanted;
+  suspicion_hash = other195.suspicion_hash;
+  __isset = other195.__isset;
   return *this;
 }
 void gossip_datagram::printTo(std::ostream& out) const {
@@ -6261,6 +6289,7 @@
   out << ", " << "book_hash=" << to_string(book_hash);
   out << ", " << "bucket_hashes=" << to_string(bucket_hashes);
   out << ", " << "reply_wanted=" << to_string(reply_wanted);
+  out << ", " << "suspicion_hash="; (__isset.suspicion_hash ? (out << to_string(suspicion_hash)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/gen/peer_types.h
+++ b/src/gen/peer_types.h
@@ -2217,6 +2217,10 @@
 
 std::ostream& operator<<(std::ostream& out, const frame& obj);
 
+typedef struct _gossip_datagram__isset {
+  _gossip_datagram__isset() : suspicion_hash(false) {}
+  bool suspicion_hash :1;
+} _gossip_datagram__isset;
 
 /**
  * One datagram between peers.
@@ -2235,7 +2239,8 @@
                     target(),
                     table_hash(0),
                     book_hash(0),
-                    reply_wanted(0) {
+                    reply_wanted(0),
+                    suspicion_hash(0) {
   }
 
   virtual ~gossip_datagram() noexcept;
@@ -2277,6 +2282,12 @@
    * In a sync: whether the receiver must answer with its own hashes.
    */
   bool reply_wanted;
+  /**
+   * Hash over the crash suspicions that the sender knows.
+   */
+  int64_t suspicion_hash;
+
+  _gossip_datagram__isset __isset;
 
   void __set_protocol_version(const int32_t val);
 
@@ -2302,6 +2313,8 @@
 
   void __set_reply_wanted(const bool val);
 
+  void __set_suspicion_hash(const int64_t val);
+
   bool operator == (const gossip_datagram & rhs) const
   {
     if (!(protocol_version == rhs.protocol_version))
@@ -2328,6 +2341,10 @@
       return false;
     if (!(reply_wanted == rhs.reply_wanted))
       return false;
+    if (__isset.suspicion_hash != rhs.__isset.suspicion_hash)
+      return false;
+    else if (__isset.suspicion_hash && !(suspicion_hash == rhs.suspicion_hash))
+      return false;
     return true;
   }
   bool operator != (const gossip_datagram &rhs) const {
--- a/src/include/pollenhall/membership.hpp
+++ b/src/include/pollenhall/membership.hpp
@@ -11,10 +11,10 @@
 #include <pollenhall/crash_guard.hpp>
 #include <pollenhall/ids.hpp>
 #include <pollenhall/state_chart.hpp>
+#include <pollenhall/suspicion_gossip.hpp>
 
 #include <array>
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <optional>
 #include <random>
@@ -110,6 +110,8 @@
     std::vector<peer_info> updates;
     std::vector<space_digest> spaces;
     std::vector<crash_suspicion> suspicions;
+    /// Empty if the sender is of a version without it.
+    std::optional<std::uint64_t> suspicion_hash;
     std::uint64_t table_hash = 0;
     std::uint64_t book_hash = 0;
     std::vector<std::uint64_t> bucket_hashes;
@@ -155,6 +157,9 @@
     /// Time for which tables may differ, while updates are still queued, before
     /// a sync is started.
     milliseconds sync_delay{2'000};
+    /// Minimum time between two transfers of crash suspicions to peers that do
+    /// not know all of them.
+    milliseconds min_suspicion_sync_interval{100};
     /// Minimum time between two forwardings of urgent updates.
     milliseconds min_urgent_interval{100};
     /// Seed of the random number generator.
@@ -187,11 +192,14 @@
     /// Gossips the digest of a changed space. Returns the datagrams to send.
     std::vector<gossip_send> announce_space(space_digest const& digest,
                                             mono_time now);
-    /// Gossips a crash suspicion, unless this node has already done so, and
-    /// sends it to each process that contacts this node later. Returns the
-    /// datagrams to send.
+    /// Gossips the crash suspicions that are new. Returns the datagrams to
+    /// send.
     std::vector<gossip_send>
-    relay_crash_suspicion(crash_suspicion const& suspicion, mono_time now);
+    gossip_suspicions(std::vector<crash_suspicion> const& suspicions,
+                      mono_time now);
+    /// Returns the suspicions that peers have sent and that were new to this
+    /// node, since the last call.
+    std::vector<crash_suspicion> take_received_suspicions();
     /// Records the upstream state that a peer reported outside gossip. Ignored
     /// if the peer is unknown or has another boot id.
     void record_upstream_state(node_id const& node, boot_id boot,
@@ -281,9 +289,12 @@
                      peer_endpoint const& to);
     void answer_ping(sends& out, gossip_message const& message,
                      peer_endpoint const& from);
-    // Sends the suspicions to a process that contacts this node for the first
-    // time: it has started after they were gossiped.
-    void greet(sends& out, peer_info const& sender, mono_time now);
+    // Returns whether the suspicion is new.
+    bool add_suspicion(crash_suspicion const& suspicion);
+    void send_new_suspicions(sends& out);
+    // Adds the suspicions of a message, and sends others to its sender if that
+    // one does not know all of them.
+    void exchange_suspicions(sends& out, gossip_message const& message);
     void relay_ping(sends& out, gossip_message const& message,
                     peer_endpoint const& from, mono_time now);
     void accept_ack(sends& out, gossip_message const& message);
@@ -301,25 +312,16 @@
     // Newest record of each node that still has to be gossiped.
     std::map<node_id, queued_update> queued_updates_;
     std::map<std::string, queued_item<space_digest>> queued_spaces_;
-    using crash_suspicion_key = std::pair<fingerprint, crash_id>;
-    std::map<crash_suspicion_key, queued_item<crash_suspicion>>
-        queued_suspicions_;
-    // Crash suspicions that this node has gossiped, latest last; bounded.
-    std::deque<crash_suspicion_key> relayed_suspicion_order_;
-    struct relayed_suspicion
-    {
-        bool confirmed = false;
-        mono_time expires{};
-    };
-    std::map<crash_suspicion_key, relayed_suspicion> relayed_suspicions_;
-    // Process of each node that has contacted this one and was sent the
-    // suspicions.
-    std::map<node_id, boot_id> greeted_;
+    suspicion_gossip suspicions_;
+    std::vector<crash_suspicion> received_suspicions_;
     std::int64_t sequence_ = 0;
     mono_time next_probe_{};
     mono_time next_dead_probe_{};
     mono_time next_sync_{};
     mono_time next_urgent_{};
+    mono_time next_suspicion_sync_{};
+    // Time of the current or last call of a member function.
+    mono_time now_{};
     // Since when the table hashes received differ from the one of this table.
     std::optional<mono_time> tables_differ_since_;
     std::uint64_t book_hash_ = 0;
--- a/src/libpollenhall/membership.cpp
+++ b/src/libpollenhall/membership.cpp
@@ -16,8 +16,6 @@
 // Each record is sent this many times per doubling of the number of live peers.
 constexpr double transmissions_per_doubling = 2;
 constexpr std::size_t max_digests_per_datagram = 16;
-constexpr std::size_t max_suspicions_per_datagram = 16;
-constexpr std::size_t max_remembered_suspicions = 4'096;
 
 std::uint64_t hash_of(peer_info const& info)
 {
@@ -213,8 +211,8 @@
     }
     take(queued_spaces_, max_digests_per_datagram,
          [&](auto& entry) { message.spaces.push_back(entry.item); });
-    take(queued_suspicions_, max_suspicions_per_datagram,
-         [&](auto& entry) { message.suspicions.push_back(entry.item); });
+    message.suspicions = suspicions_.take_queued(now_);
+    message.suspicion_hash = suspicions_.hash(now_);
     return message;
 }
 
@@ -251,8 +249,9 @@
 
 std::vector<gossip_send> membership::set_upstream(service_name const& service,
                                                   state_code state,
-                                                  mono_time /*now*/)
+                                                  mono_time now)
 {
+    now_ = now;
     sends out;
     if (self_.service == service && self_.upstream_state == state)
         return out;
@@ -264,8 +263,9 @@
     return out;
 }
 
-std::vector<gossip_send> membership::leave(mono_time /*now*/)
+std::vector<gossip_send> membership::leave(mono_time now)
 {
+    now_ = now;
     sends out;
     left_ = true;
     self_.life = peer_liveness::left;
@@ -276,8 +276,9 @@
 }
 
 std::vector<gossip_send> membership::announce_space(space_digest const& digest,
-                                                    mono_time /*now*/)
+                                                    mono_time now)
 {
+    now_ = now;
     sends out;
     queued_spaces_[digest.space] = {.item = digest,
                                     .transmissions_left = transmission_count()};
@@ -286,27 +287,66 @@
 }
 
 std::vector<gossip_send>
-membership::relay_crash_suspicion(crash_suspicion const& suspicion,
-                                  mono_time now)
+membership::gossip_suspicions(std::vector<crash_suspicion> const& suspicions,
+                              mono_time now)
 {
+    now_ = now;
     sends out;
-    crash_suspicion_key const key{suspicion.content, suspicion.crash};
-    auto const [known, is_new] = relayed_suspicions_.try_emplace(key);
-    if (!is_new && (known->second.confirmed || !suspicion.confirmed))
-        return out;
-    known->second = {.confirmed = suspicion.confirmed,
-                     .expires = now + suspicion.time_left};
-    if (is_new)
-        relayed_suspicion_order_.push_back(key);
-    if (relayed_suspicion_order_.size() > max_remembered_suspicions)
+    bool any_new = false;
+    for (auto const& suspicion : suspicions)
+        any_new = add_suspicion(suspicion) || any_new;
+    if (any_new)
+        send_new_suspicions(out);
+    return out;
+}
+
+std::vector<crash_suspicion> membership::take_received_suspicions()
+{
+    return std::exchange(received_suspicions_, {});
+}
+
+bool membership::add_suspicion(crash_suspicion const& suspicion)
+{
+    return suspicions_.add(suspicion, transmission_count(), now_);
+}
+
+void membership::send_new_suspicions(sends& out)
+{
+    for (auto count = suspicions_.queued_datagrams(); count > 0; --count)
+        send_urgent(out);
+}
+
+void membership::exchange_suspicions(sends& out, gossip_message const& message)
+{
+    bool any_new = false;
+    for (auto const& suspicion : message.suspicions)
     {
-        relayed_suspicions_.erase(relayed_suspicion_order_.front());
-        relayed_suspicion_order_.pop_front();
+        if (!add_suspicion(suspicion))
+            continue;
+        any_new = true;
+        received_suspicions_.push_back(suspicion);
+    }
+    if (any_new)
+        send_new_suspicions(out);
+    // A rumour may have been sent in the middle of a round of gossip.
+    bool const may_differ = message.kind == gossip_kind::rumour ||
+                            !message.suspicion_hash ||
+                            *message.suspicion_hash == suspicions_.hash(now_);
+    if (may_differ || now_ < next_suspicion_sync_)
+        return;
+    next_suspicion_sync_ = now_ + options_.min_suspicion_sync_interval;
+    auto const all = suspicions_.for_sync(random_, now_);
+    for (std::size_t start = 0; start < all.size();
+         start += max_suspicions_per_datagram)
+    {
+        auto const end =
+            std::min(start + max_suspicions_per_datagram, all.size());
+        auto part = make_message(gossip_kind::rumour);
+        part.suspicions.insert(part.suspicions.end(),
+                               all.begin() + static_cast<std::ptrdiff_t>(start),
+                               all.begin() + static_cast<std::ptrdiff_t>(end));
+        send_to(out, message.sender.endpoint, std::move(part));
     }
-    queued_suspicions_[key] = {.item = suspicion,
-                               .transmissions_left = transmission_count()};
-    send_urgent(out);
-    return out;
 }
 
 void membership::record_upstream_state(node_id const& node, boot_id boot,
@@ -326,6 +366,7 @@
 
 std::vector<gossip_send> membership::tick(mono_time now)
 {
+    now_ = now;
     sends out;
     if (left_)
         return out;
@@ -348,6 +389,7 @@
                                              peer_endpoint const& from,
                                              mono_time now)
 {
+    now_ = now;
     sends out;
     // A node that has left must not answer, or peers would see it as alive.
     if (left_ || message.sender.node == self_.node)
@@ -355,7 +397,7 @@
         merge(message.sender, now);
         return out;
     }
-    greet(out, message.sender, now);
+    exchange_suspicions(out, message);
     bool urgent = merge(message.sender, now);
     for (auto const& update : message.updates)
         urgent = merge(update, now) || urgent;
@@ -387,34 +429,6 @@
     return out;
 }
 
-void membership::greet(sends& out, peer_info const& sender, mono_time now)
-{
-    auto const [known, is_new] = greeted_.try_emplace(sender.node, sender.boot);
-    if (!is_new && known->second >= sender.boot)
-        return;
-    known->second = sender.boot;
-    std::vector<crash_suspicion> live;
-    for (auto const& [key, item] : relayed_suspicions_)
-        if (item.expires > now)
-            live.push_back(
-                {.content = key.first,
-                 .crash = key.second,
-                 .time_left = std::chrono::duration_cast<milliseconds>(
-                     item.expires - now),
-                 .confirmed = item.confirmed});
-    for (std::size_t start = 0; start < live.size();
-         start += max_suspicions_per_datagram)
-    {
-        auto const end =
-            std::min(start + max_suspicions_per_datagram, live.size());
-        auto message = make_message(gossip_kind::rumour);
-        message.suspicions.assign(
-            live.begin() + static_cast<std::ptrdiff_t>(start),
-            live.begin() + static_cast<std::ptrdiff_t>(end));
-        send_to(out, sender.endpoint, std::move(message));
-    }
-}
-
 void membership::compare_table_hashes(sends& out, gossip_message const& message,
                                       peer_endpoint const& from, mono_time now)
 {
--- a/src/libpollenhall/membership_test.cpp
+++ b/src/libpollenhall/membership_test.cpp
@@ -8,6 +8,7 @@
 #include <rapidcheck.h>
 
 #include <algorithm>
+#include <set>
 
 namespace
 {
@@ -61,6 +62,22 @@
 
     membership& at(int number) { return *members_.at(10'000 + number); }
 
+    /// Gossips a suspicion from a node, as after a crash of its upstream.
+    void report(int number, crash_suspicion const& suspicion)
+    {
+        auto const port = 10'000 + number;
+        known_suspicions[port].insert(suspicion.content);
+        send(port, at(number).gossip_suspicions({suspicion}, now_));
+    }
+
+    /// Number of nodes that know a suspicion.
+    [[nodiscard]] std::ptrdiff_t count_knowing(fingerprint content) const
+    {
+        return std::count_if(known_suspicions.begin(), known_suspicions.end(),
+                             [&](auto const& item)
+                             { return item.second.contains(content); });
+    }
+
     void send(int from, std::vector<gossip_send> messages)
     {
         for (auto& item : messages)
@@ -90,6 +107,8 @@
     int loss_percent = 0;
     /// Ports below this one cannot reach the others; 0 for no partition.
     int partition_port = 0;
+    /// Fingerprints of the suspicions that each node has received, by its port.
+    std::map<int, std::set<fingerprint>> known_suspicions;
     std::size_t sent = 0;
     std::size_t largest_updates = 0;
 
@@ -125,6 +144,9 @@
                 continue;
             send(item.to.port, target->second->receive(
                                    item.message, {"127.0.0.1", from}, now_));
+            for (auto const& suspicion :
+                 target->second->take_received_suspicions())
+                known_suspicions[item.to.port].insert(suspicion.content);
         }
     }
 
@@ -303,41 +325,157 @@
     }
 }
 
-TEST_CASE("a process that starts after a crash is told of the suspicions")
+TEST_CASE("a node that missed the gossip of a crash suspicion learns of it")
+{
+    constexpr int nodes = 12;
+    // Time in which all nodes must know a crash.
+    constexpr seconds spread_time{3};
+    gossip_network network(nodes, 7);
+    network.run(seconds{20});
+    crash_suspicion const seen{.content = fingerprint(7),
+                               .crash = crash_id(8),
+                               .time_left = seconds{600}};
+
+    SUBCASE("after a short network partition")
+    {
+        network.partition_port = 10'003;
+        network.report(0, seen);
+        network.run(seconds{2});
+        network.partition_port = 0;
+    }
+    SUBCASE("after a long network partition")
+    {
+        network.partition_port = 10'003;
+        network.report(0, seen);
+        network.run(seconds{30});
+        network.partition_port = 0;
+    }
+    SUBCASE("although its links lose most messages")
+    {
+        network.loss_percent = 90;
+        network.report(0, seen);
+        network.run(seconds{10});
+        network.loss_percent = 0;
+    }
+    SUBCASE("although its process has only started since")
+    {
+        network.report(0, seen);
+        network.run(seconds{5});
+        network.known_suspicions.erase(10'005);
+        network.stop(5);
+        network.start(5, 2);
+    }
+    network.run(spread_time);
+    CHECK(network.count_knowing(seen.content) == nodes);
+}
+
+TEST_CASE("a peer that does not know all crash suspicions is told")
 {
     membership node(make_info(0, 1, 1), {});
     mono_time const now{seconds{1}};
     crash_suspicion const seen{.content = fingerprint(7),
                                .crash = crash_id(8),
                                .time_left = seconds{600}};
-    node.relay_crash_suspicion(seen, now);
-    auto const contact = [&](std::int64_t boot, mono_time at)
+    node.gossip_suspicions({seen}, now);
+    // Pings the node as a process that knows the suspicions with this hash.
+    auto const contact = [&](std::optional<std::uint64_t> hash, mono_time at,
+                             gossip_kind kind = gossip_kind::ping)
     {
         gossip_message message;
-        message.sender = make_info(1, boot, 1);
-        std::vector<crash_suspicion> told;
+        message.kind = kind;
+        message.sender = make_info(1, 1, 1);
+        message.target = node_id("node-0");
+        message.suspicion_hash = hash;
+        std::pair<std::vector<crash_suspicion>, std::uint64_t> told;
         for (auto const& item :
              node.receive(message, message.sender.endpoint, at))
-            if (item.to == message.sender.endpoint)
-                told.insert(told.end(), item.message.suspicions.begin(),
-                            item.message.suspicions.end());
+        {
+            told.first.insert(told.first.end(), item.message.suspicions.begin(),
+                              item.message.suspicions.end());
+            told.second = item.message.suspicion_hash.value();
+        }
         return told;
     };
-    auto const told = contact(1, now + seconds{100});
-    REQUIRE(!told.empty());
+    // The queue for gossip is empty after a few messages.
+    for (int i = 0; i < 5; ++i)
+        contact(std::nullopt, now);
+    auto const [told, hash] = contact(0, now + seconds{100});
+    REQUIRE(told.size() == 1);
     CHECK(told[0].content == seen.content);
     CHECK(told[0].time_left == seconds{500});
 
     SUBCASE("once")
     {
-        CHECK(contact(1, now + seconds{101}).empty());
+        CHECK(contact(hash, now + seconds{101}).first.empty());
     }
-    SUBCASE("and so is the next process of that node")
+    SUBCASE("and so is the next process of its node")
     {
-        CHECK_FALSE(contact(2, now + seconds{101}).empty());
+        CHECK_FALSE(contact(0, now + seconds{101}).first.empty());
     }
     SUBCASE("unless they have expired")
     {
-        CHECK(contact(2, now + seconds{601}).empty());
+        CHECK(contact(0, now + seconds{601}).first.empty());
+    }
+    SUBCASE("but not in reply to a rumour, whose sender may know them by now")
+    {
+        CHECK(
+            contact(0, now + seconds{101}, gossip_kind::rumour).first.empty());
+    }
+    SUBCASE("but not if its version does not compare them")
+    {
+        CHECK(contact(std::nullopt, now + seconds{101}).first.empty());
+    }
+    SUBCASE("at a bounded rate")
+    {
+        CHECK(contact(0, now + milliseconds{100'050}).first.empty());
+    }
+}
+
+TEST_CASE("crash suspicions for a peer that knows none of them")
+{
+    suspicion_gossip known({.max_known = 100, .max_per_sync = 10});
+    mono_time const now{seconds{1}};
+    std::mt19937_64 random(1);
+    auto const add = [&](std::uint64_t content, std::uint64_t crash)
+    {
+        return known.add({.content = fingerprint(content),
+                          .crash = crash_id(crash),
+                          .time_left = seconds{600}},
+                         3, now);
+    };
+    for (std::uint64_t i = 0; i < 40; ++i)
+        CHECK(add(100 + i, 1));
+    CHECK(add(7, 1));
+    CHECK(add(7, 2));
+
+    SUBCASE("begin with those of a request that ran at several crashes")
+    {
+        auto const first = known.for_sync(random, now);
+        REQUIRE(first.size() == 10);
+        CHECK(first[0].content == fingerprint(7));
+        CHECK(first[1].content == fingerprint(7));
+    }
+    SUBCASE("are all sent in the end")
+    {
+        suspicion_gossip peer;
+        int rounds = 0;
+        for (; peer.hash(now) != known.hash(now) && rounds < 100; ++rounds)
+            for (auto const& item : known.for_sync(random, now))
+                peer.add(item, 3, now);
+        CHECK(rounds < 100);
+    }
+    SUBCASE("are not accepted beyond the limit")
+    {
+        for (std::uint64_t i = 0; i < 58; ++i)
+            CHECK(add(500 + i, 3));
+        CHECK_FALSE(add(999, 3));
+    }
+    SUBCASE("are gossiped in turn")
+    {
+        std::set<fingerprint> sent;
+        for (int i = 0; i < 3; ++i)
+            for (auto const& item : known.take_queued(now))
+                sent.insert(item.content);
+        CHECK(sent.size() == 41);
     }
 }
--- a/src/libpollenhall_io/wire_codec.cpp
+++ b/src/libpollenhall_io/wire_codec.cpp
@@ -119,6 +119,9 @@
         record.__set_confirmed(item.confirmed);
         datagram.suspicions.push_back(record);
     }
+    if (message.suspicion_hash)
+        datagram.__set_suspicion_hash(
+            static_cast<std::int64_t>(*message.suspicion_hash));
     datagram.table_hash = static_cast<std::int64_t>(message.table_hash);
     datagram.book_hash = static_cast<std::int64_t>(message.book_hash);
     datagram.bucket_hashes.assign(message.bucket_hashes.begin(),
@@ -145,6 +148,9 @@
              .crash = crash_id(static_cast<std::uint64_t>(record.crash_id)),
              .time_left = milliseconds(record.time_left_ms),
              .confirmed = record.confirmed});
+    if (datagram.__isset.suspicion_hash)
+        message.suspicion_hash =
+            static_cast<std::uint64_t>(datagram.suspicion_hash);
     message.table_hash = static_cast<std::uint64_t>(datagram.table_hash);
     message.book_hash = static_cast<std::uint64_t>(datagram.book_hash);
     message.bucket_hashes.assign(datagram.bucket_hashes.begin(),
--- a/src/pollenhalld/control_plane.cpp
+++ b/src/pollenhalld/control_plane.cpp
@@ -169,11 +169,8 @@
     socket_.send(members_.receive(message, from, now));
     for (auto const& digest : message.spaces)
         pull_if_newer(digest, message.sender.endpoint, now);
-    for (auto const& suspicion : message.suspicions)
-    {
+    for (auto const& suspicion : members_.take_received_suspicions())
         traffic_->add_suspicion(suspicion);
-        socket_.send(members_.relay_crash_suspicion(suspicion, now));
-    }
     compare_book_hashes(message, message.sender.endpoint, now);
 }
 
@@ -265,13 +262,9 @@
 
 void control_plane::share_suspicions(std::vector<crash_suspicion> suspicions)
 {
-    asio::post(context_,
-               [this, suspicions = std::move(suspicions)]
-               {
-                   for (auto const& suspicion : suspicions)
-                       socket_.send(members_.relay_crash_suspicion(suspicion,
-                                                                   mono_now()));
-               });
+    asio::post(
+        context_, [this, suspicions = std::move(suspicions)]
+        { socket_.send(members_.gossip_suspicions(suspicions, mono_now())); });
 }
 
 void control_plane::on_roster_status(std::vector<roster_status> statuses)
