Sidecar: keep the suspicions of repeated crashes in the host entry

A host entry holds 64 suspicions, those that expire last. A crash adds up to 32, so two later crashes under load displaced the suspicions of a request that had crashed the upstream before, in favour of requests that ran at one crash only. Nodes that start then do not know the crashing request (found by reading; the new unit test failed before).

The requests that ran at most crashes come first. Mesh tests: all pass.

--- a/src/include/pollenhall/mesh/suspicion_ledger.hpp
+++ b/src/include/pollenhall/mesh/suspicion_ledger.hpp
@@ -25,8 +25,8 @@
     /// no host entry contains: the reporting node has ended, or is cut off from
     /// the store.
     milliseconds adoption_delay{1'000};
-    /// Limit on the suspicions in a host entry; those that expire last are
-    /// kept.
+    /// Limit on the suspicions in a host entry. Those of requests that ran at
+    /// several crashes are kept first, then those that expire last.
     std::size_t max_published = 64;
     /// Limit on the time until a suspicion expires, whatever its sender says.
     milliseconds max_lifetime = max_suspicion_lifetime;
--- a/src/libpollenhall_mesh/suspicion_ledger.cpp
+++ b/src/libpollenhall_mesh/suspicion_ledger.cpp
@@ -3,6 +3,7 @@
 #include <pollenhall/mesh/suspicion_ledger.hpp>
 
 #include <algorithm>
+#include <tuple>
 
 namespace pollenhall::mesh
 {
@@ -116,17 +117,27 @@
 suspicion_ledger::published(wall_time now) const
 {
     std::vector<published_suspicion> all;
+    std::map<fingerprint, int> crashes;
     for (auto const& [id, item] : known_)
-        if (item.own && item.expires > now)
+    {
+        if (item.expires <= now)
+            continue;
+        ++crashes[id.first];
+        if (item.own)
             all.push_back({.content = id.first,
                            .crash = id.second,
                            .confirmed = item.confirmed,
                            .expires = item.expires});
+    }
     if (all.size() <= options_.max_published)
         return all;
-    std::stable_sort(all.begin(), all.end(),
-                     [](auto const& left, auto const& right)
-                     { return left.expires > right.expires; });
+    std::stable_sort(
+        all.begin(), all.end(),
+        [&](auto const& left, auto const& right)
+        {
+            return std::tuple(crashes.at(left.content), left.expires) >
+                   std::tuple(crashes.at(right.content), right.expires);
+        });
     all.resize(options_.max_published);
     return all;
 }
--- a/src/libpollenhall_mesh/suspicion_ledger_test.cpp
+++ b/src/libpollenhall_mesh/suspicion_ledger_test.cpp
@@ -89,4 +89,24 @@
         CHECK(kept[0].crash == crash_id(3));
         CHECK(kept[1].crash == crash_id(2));
     }
+    SUBCASE("of a request that ran at several crashes is kept before others")
+    {
+        suspicion_ledger small({.max_published = 2});
+        auto const report =
+            [&](std::uint64_t content, std::uint64_t crash, int lifetime)
+        {
+            small.report({{.content = fingerprint(content),
+                           .crash = crash_id(crash),
+                           .time_left = seconds{lifetime}}},
+                         now);
+        };
+        report(1, 10, 100);
+        report(1, 11, 101);
+        for (std::uint64_t i = 0; i < 4; ++i)
+            report(20 + i, 12, 200);
+        auto const kept = small.published(now);
+        REQUIRE(kept.size() == 2);
+        CHECK(kept[0].content == fingerprint(1));
+        CHECK(kept[1].content == fingerprint(1));
+    }
 }
