Sidecar: a call that an upstream never answered may have crashed it

Only calls whose connection broke were suspected. A report within a second of a refused connection also discarded older calls, which a restart could have explained.

Calls that timed out do not count for a refused connection alone.

--- a/src/pollenhall_sidecar/gate.cpp
+++ b/src/pollenhall_sidecar/gate.cpp
@@ -57,7 +57,14 @@
                      upstream->last.started &&
                      *upstream_->last.started != *upstream->last.started);
     if (started_again)
-        report_crash(mono_now(), new_start_window);
+    {
+        // If the end of the upstream did not break the connections, its calls
+        // are still waiting. After a restart with the same incarnation they may
+        // belong to the new process.
+        if (replaced)
+            record_running_calls();
+        report_crash(mono_now(), crash_evidence::new_start);
+    }
     upstream_ = std::move(upstream);
     if (replaced)
         pool_->close_idle();
@@ -142,7 +149,7 @@
         return;
     client_pool::cancel(item.exchange);
     // A caller may give up before the upstream crashes on its request.
-    record_broken_call(item, mono_now());
+    record_unanswered_call(item, mono_now(), false);
     queue_.on_finished(std::nullopt, false, mono_now());
     erase_running(found->second.call.id, number);
     calls_.erase(found);
@@ -275,10 +282,11 @@
                  std::chrono::duration_cast<milliseconds>(now - item.started)
                      .count());
     bool const broken = result.end == exchange_end::broken;
-    if (broken)
-        record_broken_call(item, now);
+    bool const timed_out = result.end == exchange_end::timed_out;
+    if (broken || timed_out)
+        record_unanswered_call(item, now, timed_out);
     else if (result.end == exchange_end::not_connected)
-        report_crash(now, crash_window);
+        report_crash(now, crash_evidence::refused_connection);
     auto outcome = classify_result(std::move(result));
     if (outcome.end == mesh::attempt_end::answered && on_completed_)
         on_completed_(item.call);
@@ -325,7 +333,8 @@
                      checking_liveness_ = false;
                      bool const ended = result == probe_result::refused;
                      if (ended)
-                         report_crash(mono_now(), crash_window);
+                         report_crash(mono_now(),
+                                      crash_evidence::refused_connection);
                      release_held_calls(ended);
                  });
 }
@@ -340,25 +349,43 @@
     }
 }
 
-void gate::record_broken_call(active_call const& item, mono_time now)
+void gate::record_unanswered_call(active_call const& item, mono_time now,
+                                  bool timed_out)
 {
-    std::erase_if(broken_calls_, [&](auto const& old)
-                  { return now - old.broken > new_start_window; });
-    broken_calls_.push_back({.broken = now,
-                             .started = item.started,
-                             .content = fingerprint_of(item.call.request)});
+    std::erase_if(unanswered_calls_, [&](auto const& old)
+                  { return now - old.ended > new_start_window; });
+    unanswered_calls_.push_back({.ended = now,
+                                 .started = item.started,
+                                 .content = fingerprint_of(item.call.request),
+                                 .timed_out = timed_out});
 }
 
-void gate::report_crash(mono_time now, milliseconds window)
+void gate::record_running_calls()
+{
+    auto const now = mono_now();
+    for (auto const& [number, item] : calls_)
+        if (item.running)
+            record_unanswered_call(item, now, true);
+}
+
+void gate::report_crash(mono_time now, crash_evidence evidence)
 {
-    std::erase_if(broken_calls_,
-                  [&](auto const& old) { return now - old.broken > window; });
-    if (broken_calls_.empty())
-        return;
     // The end of an upstream that leaves is planned.
     if (upstream_ && !upstream_->accepts_work())
-        return broken_calls_.clear();
-    std::sort(broken_calls_.begin(), broken_calls_.end(),
+        return unanswered_calls_.clear();
+    bool const restarted = evidence == crash_evidence::new_start;
+    auto const window = restarted ? new_start_window : crash_window;
+    auto const suspects_begin = std::partition(
+        unanswered_calls_.begin(), unanswered_calls_.end(),
+        [&](auto const& item) {
+            return now - item.ended > window || (item.timed_out && !restarted);
+        });
+    std::vector<unanswered_call> suspects(suspects_begin,
+                                          unanswered_calls_.end());
+    unanswered_calls_.erase(suspects_begin, unanswered_calls_.end());
+    if (suspects.empty())
+        return;
+    std::sort(suspects.begin(), suspects.end(),
               [](auto const& left, auto const& right)
               { return left.started > right.started; });
     upstream_crash crash;
@@ -367,9 +394,8 @@
         crash.incarnation = upstream_->last.incarnation;
         crash.started = upstream_->last.started;
     }
-    for (auto const& item : broken_calls_)
+    for (auto const& item : suspects)
         crash.in_flight.push_back(item.content);
-    broken_calls_.clear();
     log_event("upstream_crashed", log_level::warning)
         .add("incarnation", crash.incarnation.value())
         .add("in_flight", static_cast<std::int64_t>(crash.in_flight.size()));
--- a/src/pollenhall_sidecar/gate.hpp
+++ b/src/pollenhall_sidecar/gate.hpp
@@ -113,14 +113,25 @@
     [[nodiscard]] attempt_result classify_result(exchange_result result) const;
     void finish(mesh::gate_call_id number, attempt_result result);
     // Records a call during which the upstream may have crashed.
-    void record_broken_call(active_call const& item, mono_time now);
+    void record_unanswered_call(active_call const& item, mono_time now,
+                                bool timed_out);
+    void record_running_calls();
     // Delays the result of a call whose connection broke until it is known
     // whether the upstream crashed: a retry may depend on it.
     void hold(mesh::gate_call_id number, attempt_result result);
     void check_liveness();
     void release_held_calls(bool crashed);
-    // Reports a crash if connections broke within `window` before.
-    void report_crash(mono_time now, milliseconds window);
+    // What shows that the upstream has crashed.
+    enum class crash_evidence
+    {
+        refused_connection,
+        // The upstream has started again without having left.
+        new_start
+    };
+    // Reports a crash if calls ended without a response a short time before.
+    // Calls that timed out count for a new start only: an upstream is more
+    // often slow than silent at its end.
+    void report_crash(mono_time now, crash_evidence evidence);
     void erase_running(request_id const& id, mesh::gate_call_id number);
     void reject_waiting_calls();
     void schedule_expiry();
@@ -135,15 +146,17 @@
     std::optional<mesh::registered_upstream> upstream_;
     std::map<mesh::gate_call_id, active_call> calls_;
     std::map<request_id, mesh::gate_call_id> running_;
-    // A call whose connection to the upstream broke a short time ago, or that
-    // was cancelled.
-    struct broken_call
+    // A call that ended without a response a short time ago: its connection to
+    // the upstream broke, it timed out or it was cancelled.
+    struct unanswered_call
     {
-        mono_time broken{};
+        mono_time ended{};
         mono_time started{};
         fingerprint content;
+        // Whether the connection did not break.
+        bool timed_out = false;
     };
-    std::vector<broken_call> broken_calls_;
+    std::vector<unanswered_call> unanswered_calls_;
     struct held_call
     {
         attempt_handler on_end;
--- a/src/pollenhall_sidecar/sidecar_test.cpp
+++ b/src/pollenhall_sidecar/sidecar_test.cpp
@@ -882,6 +882,29 @@
         nodes.first.set_upstream(restarted);
         CHECK(reported.size() == 1);
     }
+    SUBCASE("is suspected if it was running when the upstream started again")
+    {
+        // The end of the upstream does not break its connections.
+        nodes.set_only_host(0);
+        nodes.first_upstream.script = {step::hang};
+        bool ended = false;
+        nodes.start(nodes.make_request("POST", "/order/poison"),
+                    [&](exchange_result const&) { ended = true; });
+        nodes.run_until([&] { return nodes.request_count() == 1; });
+        SUBCASE("and is still waiting") {}
+        SUBCASE("and has timed out")
+        {
+            nodes.run_until([&] { return ended; });
+            nodes.run_for(milliseconds{100});
+        }
+        CHECK(reported.empty());
+        auto restarted = nodes.first_upstream.registration();
+        restarted.last.incarnation = mesh::incarnation_id("u1-again");
+        nodes.first.set_upstream(restarted);
+        REQUIRE(reported.size() == 1);
+        CHECK(reported[0].content == known.content);
+        nodes.run_until([&] { return ended; });
+    }
     SUBCASE("is not suspected if the upstream was leaving")
     {
         nodes.set_only_host(0);
--- a/src/pollenhall_sidecar/traffic_node.cpp
+++ b/src/pollenhall_sidecar/traffic_node.cpp
@@ -11,7 +11,6 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
-#include <span>
 
 namespace pollenhall::sidecar
 {
