Daemon: crash suspicions outlast the end of all daemons

With all daemons killed at once, three times, a crashing request ended upstreams four times later than 3 s after the third end, where 3 are allowed.

Cause: daemons kept suspicions in memory and told each other. When all end, nobody is left to tell; the store, which stays, knew nothing.

A daemon writes its suspicions under a key of its own, with a lease until the last one expires, and reads those of all nodes once after its start; before that it writes nothing, so that the value of its last process is not lost.

While the store is down nothing is written; retried every 0.5 to 10 s.

--- a/src/include/pollenhall/crash_guard.hpp
+++ b/src/include/pollenhall/crash_guard.hpp
@@ -20,6 +20,9 @@
 /// connections or nodes count once.
 using crash_id = strong_value<struct crash_id_tag, std::uint64_t>;
 
+/// Longest time until a suspicion from another node or the store expires.
+inline constexpr milliseconds max_suspicion_lifetime{3'600'000};
+
 /// A request fingerprint that was running on an upstream when it crashed.
 struct crash_suspicion
 {
--- a/src/include/pollenhall/mesh/suspicion_ledger.hpp
+++ b/src/include/pollenhall/mesh/suspicion_ledger.hpp
@@ -15,9 +15,6 @@
 namespace pollenhall::mesh
 {
 
-/// Longest time until a suspicion from another node expires.
-inline constexpr milliseconds max_suspicion_lifetime{3'600'000};
-
 /// Settings of `suspicion_ledger`.
 struct suspicion_ledger_options
 {
--- a/src/pollenhall_sidecar/host_entry_json.cpp
+++ b/src/pollenhall_sidecar/host_entry_json.cpp
@@ -138,7 +138,7 @@
                 {.content = fingerprint(read_hash(part.at(0))),
                  .crash = crash_id(read_hash(part.at(1))),
                  .time_left = milliseconds(read_integer(
-                     part.at(2), 0, mesh::max_suspicion_lifetime.count())),
+                     part.at(2), 0, max_suspicion_lifetime.count())),
                  .confirmed = part.at(3).get<bool>()});
         return suspicions;
     }
--- a/src/pollenhalld/control_plane.cpp
+++ b/src/pollenhalld/control_plane.cpp
@@ -86,6 +86,14 @@
                  asio::post(context_, [this, endpoints = std::move(endpoints)]
                             { members_.add_seeds(endpoints); });
              }),
+      suspicions_(context_, settings, store_,
+                  [this](std::vector<crash_suspicion> const& loaded)
+                  {
+                      for (auto const& suspicion : loaded)
+                          traffic_->add_suspicion(suspicion);
+                      socket_.send(
+                          members_.gossip_suspicions(loaded, mono_now()));
+                  }),
       upstream_life_(charts.upstream, {.lease = settings.upstream_lease,
                                        .warm_up = settings.warm_up}),
       upstream_chart_(charts.upstream), tick_timer_(context_)
@@ -142,6 +150,7 @@
 {
     auto const now = mono_now();
     socket_.send(members_.tick(now));
+    suspicions_.tick(now);
     upstream_life_.tick(now);
     publish_upstream();
     if (built_version_ != members_.table_version())
@@ -169,8 +178,10 @@
     socket_.send(members_.receive(message, from, now));
     for (auto const& digest : message.spaces)
         pull_if_newer(digest, message.sender.endpoint, now);
-    for (auto const& suspicion : members_.take_received_suspicions())
+    auto const received = members_.take_received_suspicions();
+    for (auto const& suspicion : received)
         traffic_->add_suspicion(suspicion);
+    suspicions_.hear(received);
     compare_book_hashes(message, message.sender.endpoint, now);
 }
 
@@ -262,9 +273,13 @@
 
 void control_plane::share_suspicions(std::vector<crash_suspicion> suspicions)
 {
-    asio::post(
-        context_, [this, suspicions = std::move(suspicions)]
-        { socket_.send(members_.gossip_suspicions(suspicions, mono_now())); });
+    asio::post(context_,
+               [this, suspicions = std::move(suspicions)]
+               {
+                   suspicions_.report(suspicions);
+                   socket_.send(
+                       members_.gossip_suspicions(suspicions, mono_now()));
+               });
 }
 
 void control_plane::on_roster_status(std::vector<roster_status> statuses)
--- a/src/pollenhalld/control_plane.hpp
+++ b/src/pollenhalld/control_plane.hpp
@@ -9,6 +9,7 @@
 #include "node_view.hpp"
 #include "seed_registry.hpp"
 #include "store_agent.hpp"
+#include "suspicion_registry.hpp"
 #include "traffic_plane.hpp"
 
 #include <pollenhall/io/document_writer.hpp>
@@ -108,7 +109,8 @@
     bool fire_upstream_event(std::string_view event);
     /// Fires the event for an unreachable upstream, `silent`. Does not block.
     void report_unreachable();
-    /// Gossips crash suspicions to the peers. Does not block.
+    /// Gossips crash suspicions to the peers, and stores those that must
+    /// outlast all nodes. Does not block.
     void share_suspicions(std::vector<crash_suspicion> suspicions);
     /// Handles a frame from a peer that concerns control state. Does not block.
     void on_control_frame(link_id link, wire::frame frame);
@@ -192,6 +194,7 @@
     node_queries queries_;
     store_agent store_;
     seed_registry seeds_;
+    suspicion_registry suspicions_;
     upstream_life upstream_life_;
     state_chart const& upstream_chart_;
     announced_upstream upstream_;
