--- a/src/libpollenhall_io/upstream_client.cpp
+++ b/src/libpollenhall_io/upstream_client.cpp
@@ -35,7 +35,9 @@
 {
     mesh::http_request request{.method = call.method,
                                .target =
-                                   "/" + call.kind.kind.value() + call.target};
+                                   "/" + call.kind.kind.value() + call.target,
+                               .fields = {},
+                               .body = {}};
     request.fields.add("Host",
                        endpoint.address + ":" + std::to_string(endpoint.port));
     for (auto const& header : call.headers)
--- a/src/libpollenhall_io/upstream_connection.cpp
+++ b/src/libpollenhall_io/upstream_connection.cpp
@@ -39,7 +39,8 @@
             deadline - mono_now() + milliseconds{1});
         if (left <= milliseconds{0})
             return false;
-        pollfd item{.fd = socket_.native_handle(), .events = events};
+        pollfd item{
+            .fd = socket_.native_handle(), .events = events, .revents = 0};
         auto const ready = poll(&item, 1, static_cast<int>(left.count()));
         if (ready > 0)
             return true;
@@ -101,7 +102,8 @@
             // An upstream may respond before it has read the whole request.
             if (!wait(POLLOUT | POLLIN, deadline))
                 return request_end::timed_out;
-            pollfd item{.fd = socket_.native_handle(), .events = POLLIN};
+            pollfd item{
+                .fd = socket_.native_handle(), .events = POLLIN, .revents = 0};
             if (poll(&item, 1, 0) > 0)
                 return request_end::answered;
         }
@@ -165,7 +167,7 @@
 
 bool upstream_connection::is_reusable()
 {
-    pollfd item{.fd = socket_.native_handle(), .events = POLLIN};
+    pollfd item{.fd = socket_.native_handle(), .events = POLLIN, .revents = 0};
     return reusable_ && poll(&item, 1, 0) == 0;
 }
 
