--- a/src/include/pollenhall/crash_guard.hpp
+++ b/src/include/pollenhall/crash_guard.hpp
@@ -37,6 +37,18 @@
     bool operator==(crash_suspicion const&) const = default;
 };
 
+/// A crash suspicion in the store. It outlasts the process that wrote it, so
+/// that the time is absolute.
+struct published_suspicion
+{
+    fingerprint content;
+    crash_id crash;
+    bool confirmed = true;
+    wall_time expires{};
+
+    bool operator==(published_suspicion const&) const = default;
+};
+
 /// Settings of `crash_guard`.
 struct crash_guard_options
 {
--- a/src/include/pollenhall/kept_suspicions.hpp
+++ b/src/include/pollenhall/kept_suspicions.hpp
@@ -19,18 +19,6 @@
 /// Limit on the suspicions in the value of one node.
 inline constexpr std::size_t max_kept_suspicions = 64;
 
-/// A suspicion as it is stored. Unlike in a message, it expires at an absolute
-/// time, as it may be read much later.
-struct stored_suspicion
-{
-    fingerprint content;
-    crash_id crash;
-    bool confirmed = false;
-    wall_time expires{};
-
-    bool operator==(stored_suspicion const&) const = default;
-};
-
 /// Chooses the suspicions that one node keeps in the store. Each call to the
 /// store is counted, and a node that ends leaves possible crashes at all nodes
 /// that had sent it requests. Not thread-safe.
@@ -45,13 +33,13 @@
     /// Adds the suspicions that a node has stored; `is_own` for those of an
     /// earlier process of this node. Returns the ones that have not expired.
     std::vector<crash_suspicion>
-    load(std::vector<stored_suspicion> const& stored, bool is_own,
+    load(std::vector<published_suspicion> const& stored, bool is_own,
          wall_time now);
     /// Returns the suspicions to store: the ones that this node has reported
     /// and whose crash was observed, and all of a request that ran at several
     /// crashes if this node has reported one of them. Those that expire last
     /// come first.
-    [[nodiscard]] std::vector<stored_suspicion> kept(wall_time now) const;
+    [[nodiscard]] std::vector<published_suspicion> kept(wall_time now) const;
 
 private:
     struct record
@@ -62,16 +50,17 @@
     };
     using crashes = std::map<crash_id, record>;
 
-    void add(stored_suspicion const& suspicion, bool is_own, wall_time now);
+    void add(published_suspicion const& suspicion, bool is_own, wall_time now);
 
     std::map<fingerprint, crashes> known_;
 };
 
 /// Returns the text of suspicions for the store: one line each.
-std::string format_suspicions(std::vector<stored_suspicion> const& suspicions);
+std::string
+format_suspicions(std::vector<published_suspicion> const& suspicions);
 /// Parses that text. Returns InvalidArgument with the number of the first line
 /// that is not valid.
-absl::StatusOr<std::vector<stored_suspicion>>
+absl::StatusOr<std::vector<published_suspicion>>
 parse_suspicions(std::string_view text);
 
 } // namespace pollenhall
--- a/src/include/pollenhall/mesh/placement.hpp
+++ b/src/include/pollenhall/mesh/placement.hpp
@@ -22,18 +22,6 @@
 /// Address of a host, without a port.
 using host_address = strong_value<struct host_address_tag, std::string>;
 
-/// A crash suspicion in a host entry. Entries outlast the process that wrote
-/// them, so that the time is absolute.
-struct published_suspicion
-{
-    fingerprint content;
-    crash_id crash;
-    bool confirmed = true;
-    wall_time expires{};
-
-    bool operator==(published_suspicion const&) const = default;
-};
-
 /// Returns the id of the crash that ends one start of the upstream on a host.
 crash_id crash_id_of(host_address const& host,
                      incarnation_id const& incarnation,
--- a/src/libpollenhall/kept_suspicions.cpp
+++ b/src/libpollenhall/kept_suspicions.cpp
@@ -28,7 +28,7 @@
     return value;
 }
 
-std::optional<stored_suspicion> read_line(std::string_view& text)
+std::optional<published_suspicion> read_line(std::string_view& text)
 {
     auto const content = read_number<std::uint64_t>(text, ' ');
     auto const crash = read_number<std::uint64_t>(text, ' ');
@@ -37,10 +37,10 @@
     if (!content || !crash || !confirmed || !expires || *confirmed < 0 ||
         *confirmed > 1 || *expires < 0)
         return std::nullopt;
-    return stored_suspicion{.content = fingerprint(*content),
-                            .crash = crash_id(*crash),
-                            .confirmed = *confirmed == 1,
-                            .expires = wall_time(milliseconds(*expires))};
+    return published_suspicion{.content = fingerprint(*content),
+                               .crash = crash_id(*crash),
+                               .confirmed = *confirmed == 1,
+                               .expires = wall_time(milliseconds(*expires))};
 }
 
 } // namespace
@@ -66,8 +66,8 @@
 }
 
 std::vector<crash_suspicion>
-kept_suspicions::load(std::vector<stored_suspicion> const& stored, bool is_own,
-                      wall_time now)
+kept_suspicions::load(std::vector<published_suspicion> const& stored,
+                      bool is_own, wall_time now)
 {
     std::vector<crash_suspicion> live;
     for (auto const& item : stored)
@@ -84,9 +84,9 @@
     return live;
 }
 
-std::vector<stored_suspicion> kept_suspicions::kept(wall_time now) const
+std::vector<published_suspicion> kept_suspicions::kept(wall_time now) const
 {
-    std::vector<stored_suspicion> result;
+    std::vector<published_suspicion> result;
     for (auto const& [content, crashes] : known_)
     {
         auto const is_live = [&](auto const& item)
@@ -111,7 +111,7 @@
     return result;
 }
 
-void kept_suspicions::add(stored_suspicion const& suspicion, bool is_own,
+void kept_suspicions::add(published_suspicion const& suspicion, bool is_own,
                           wall_time now)
 {
     if (suspicion.expires <= now)
@@ -136,7 +136,8 @@
                  std::min(suspicion.expires, now + max_suspicion_lifetime));
 }
 
-std::string format_suspicions(std::vector<stored_suspicion> const& suspicions)
+std::string
+format_suspicions(std::vector<published_suspicion> const& suspicions)
 {
     std::string text;
     for (auto const& item : suspicions)
@@ -147,10 +148,10 @@
     return text;
 }
 
-absl::StatusOr<std::vector<stored_suspicion>>
+absl::StatusOr<std::vector<published_suspicion>>
 parse_suspicions(std::string_view text)
 {
-    std::vector<stored_suspicion> result;
+    std::vector<published_suspicion> result;
     while (!text.empty())
     {
         auto const item = read_line(text);
--- a/src/libpollenhall/kept_suspicions_test.cpp
+++ b/src/libpollenhall/kept_suspicions_test.cpp
@@ -100,7 +100,7 @@
                                    rc::gen::positive<std::int64_t>()),
                     [](auto const& values)
                     {
-                        return stored_suspicion{
+                        return published_suspicion{
                             .content = fingerprint(std::get<0>(values)),
                             .crash = crash_id(std::get<1>(values)),
                             .confirmed = std::get<2>(values),
@@ -108,8 +108,8 @@
                                 wall_time(milliseconds(std::get<3>(values)))};
                     });
                 auto const all =
-                    *rc::gen::container<std::vector<stored_suspicion>>(10,
-                                                                       item);
+                    *rc::gen::container<std::vector<published_suspicion>>(10,
+                                                                          item);
                 auto const parsed = parse_suspicions(format_suspicions(all));
                 RC_ASSERT(parsed.ok());
                 RC_ASSERT(*parsed == all);
--- a/src/libpollenhall/membership.cpp
+++ b/src/libpollenhall/membership.cpp
@@ -328,11 +328,12 @@
     }
     if (any_new)
         send_new_suspicions(out);
-    // A rumour may have been sent in the middle of a round of gossip.
-    bool const may_differ = message.kind == gossip_kind::rumour ||
+    // A rumour may have been sent in the middle of a round of gossip, so that
+    // its hash is not compared.
+    bool const is_in_sync = message.kind == gossip_kind::rumour ||
                             !message.suspicion_hash ||
                             *message.suspicion_hash == suspicions_.hash(now_);
-    if (may_differ || now_ < next_suspicion_sync_)
+    if (is_in_sync || now_ < next_suspicion_sync_)
         return;
     next_suspicion_sync_ = now_ + options_.min_suspicion_sync_interval;
     auto const all = suspicions_.for_sync(random_, now_);
--- a/src/pollenhall_sidecar/host_entry_json.cpp
+++ b/src/pollenhall_sidecar/host_entry_json.cpp
@@ -48,7 +48,7 @@
 // std::invalid_argument if a number is out of range.
 mesh::host_entry from_json(json const& item)
 {
-    std::vector<mesh::published_suspicion> suspicions;
+    std::vector<published_suspicion> suspicions;
     for (auto const& part : item.at("suspicions"))
         suspicions.push_back({.content = fingerprint(read_hash(part.at(0))),
                               .crash = crash_id(read_hash(part.at(1))),
