Daemon: store a possible crash when a peer reports another one

Found in reading the diff: a node wrote its suspicions only when it reported one itself. If the second crash of a request was heard from a peer that did not know of the first, neither node stored both. What is kept is compared with what was written after each change now, also after news of peers.

--- a/src/include/pollenhall/kept_suspicions.hpp
+++ b/src/include/pollenhall/kept_suspicions.hpp
@@ -25,9 +25,8 @@
 class kept_suspicions
 {
 public:
-    /// Adds a suspicion that this node reports. Returns whether `kept` may have
-    /// changed.
-    bool report(crash_suspicion const& suspicion, wall_time now);
+    /// Adds a suspicion that this node reports.
+    void report(crash_suspicion const& suspicion, wall_time now);
     /// Adds a suspicion that a peer has reported.
     void hear(crash_suspicion const& suspicion, wall_time now);
     /// Adds the suspicions that a node has stored; `is_own` for those of an
--- a/src/libpollenhall/kept_suspicions.cpp
+++ b/src/libpollenhall/kept_suspicions.cpp
@@ -45,15 +45,13 @@
 
 } // namespace
 
-bool kept_suspicions::report(crash_suspicion const& suspicion, wall_time now)
+void kept_suspicions::report(crash_suspicion const& suspicion, wall_time now)
 {
-    auto const before = kept(now);
     add({.content = suspicion.content,
          .crash = suspicion.crash,
          .confirmed = suspicion.confirmed,
          .expires = now + suspicion.time_left},
         true, now);
-    return kept(now) != before;
 }
 
 void kept_suspicions::hear(crash_suspicion const& suspicion, wall_time now)
--- a/src/pollenhalld/suspicion_registry.cpp
+++ b/src/pollenhalld/suspicion_registry.cpp
@@ -45,20 +45,24 @@
         return;
     if (!has_read_)
         read();
-    else if (must_write_)
+    else if (may_differ_)
         write();
 }
 
 void suspicion_registry::report(std::vector<crash_suspicion> const& suspicions)
 {
     for (auto const& suspicion : suspicions)
-        must_write_ = suspicions_.report(suspicion, wall_now()) || must_write_;
+        suspicions_.report(suspicion, wall_now());
+    may_differ_ = true;
 }
 
 void suspicion_registry::hear(std::vector<crash_suspicion> const& suspicions)
 {
+    if (suspicions.empty())
+        return;
     for (auto const& suspicion : suspicions)
         suspicions_.hear(suspicion, wall_now());
+    may_differ_ = true;
 }
 
 void suspicion_registry::read()
@@ -109,35 +113,38 @@
 void suspicion_registry::write()
 {
     auto const now = wall_now();
-    auto const kept = suspicions_.kept(now);
-    must_write_ = false;
-    // The stored value is removed by its lease.
-    if (kept.empty())
+    auto kept = suspicions_.kept(now);
+    may_differ_ = false;
+    // An expired value is removed by its lease.
+    if (kept.empty() || kept == stored_)
         return;
     is_calling_ = true;
     auto const time_to_live =
         std::chrono::ceil<seconds>(kept.front().expires - now);
     store_.submit(
-        [this, time_to_live,
-         entry = store_write{.key = prefix_ + settings_.name.value(),
-                             .value = format_suspicions(kept),
-                             .lease = {}}](etcd_store& store)
+        [this, time_to_live, kept = std::move(kept),
+         key = prefix_ + settings_.name.value()](etcd_store& store)
         {
+            auto const status = write_value(
+                store,
+                {.key = key, .value = format_suspicions(kept), .lease = {}},
+                time_to_live);
             asio::post(context_,
-                       [this, status = write_value(store, entry, time_to_live)]
-                       { on_written(status); });
+                       [this, kept, status] { on_written(kept, status); });
         });
 }
 
-void suspicion_registry::on_written(absl::Status const& status)
+void suspicion_registry::on_written(
+    std::vector<published_suspicion> const& written, absl::Status const& status)
 {
     is_calling_ = false;
     if (status.ok())
     {
         retry_delay_ = milliseconds{0};
+        stored_ = written;
         return;
     }
-    must_write_ = true;
+    may_differ_ = true;
     log_event("suspicions_not_stored", log_level::warning)
         .add("error", std::string(status.message()));
     retry_later();
--- a/src/pollenhalld/suspicion_registry.hpp
+++ b/src/pollenhalld/suspicion_registry.hpp
@@ -42,7 +42,8 @@
     void read();
     void on_read(absl::StatusOr<store_view> const& view);
     void write();
-    void on_written(absl::Status const& status);
+    void on_written(std::vector<published_suspicion> const& written,
+                    absl::Status const& status);
     void retry_later();
 
     asio::io_context& context_;
@@ -54,7 +55,10 @@
     // Until the suspicions have been read, nothing is written: the value of an
     // earlier process would be lost.
     bool has_read_ = false;
-    bool must_write_ = false;
+    // Whether `suspicions_` has changed since it was compared with `stored_`.
+    bool may_differ_ = false;
+    // What this process has written last.
+    std::vector<published_suspicion> stored_;
     bool is_calling_ = false;
     mono_time next_call_{};
     milliseconds retry_delay_{0};
