Daemon: store the suspicions of repeated crashes first

A daemon stored at most 64 suspicions, those that expire last. A crash adds up to 64, so one later crash under load displaced those of a request that had crashed upstreams before, the fault that the host entry of the sidecar had.

Those of requests that ran at several crashes are kept first. The lease lasts until the last one expires, whichever place it has.

--- a/src/include/pollenhall/kept_suspicions.hpp
+++ b/src/include/pollenhall/kept_suspicions.hpp
@@ -36,8 +36,8 @@
          wall_time now);
     /// Returns the suspicions to store: the ones that this node has reported
     /// and whose crash was observed, and all of a request that ran at several
-    /// crashes if this node has reported one of them. Those that expire last
-    /// come first.
+    /// crashes if this node has reported one of them. If there are too many,
+    /// the latter are kept first, then those that expire last.
     [[nodiscard]] std::vector<published_suspicion> kept(wall_time now) const;
 
 private:
--- a/src/libpollenhall/kept_suspicions.cpp
+++ b/src/libpollenhall/kept_suspicions.cpp
@@ -84,29 +84,40 @@
 
 std::vector<published_suspicion> kept_suspicions::kept(wall_time now) const
 {
-    std::vector<published_suspicion> result;
+    std::vector<published_suspicion> repeated;
+    std::vector<published_suspicion> single;
     for (auto const& [content, crashes] : known_)
     {
         auto const is_live = [&](auto const& item)
         { return item.second.expires > now; };
-        bool const repeated =
-            std::count_if(crashes.begin(), crashes.end(), is_live) > 1 &&
+        bool const ran_at_several =
+            std::count_if(crashes.begin(), crashes.end(), is_live) > 1;
+        bool const has_own =
             std::any_of(crashes.begin(), crashes.end(),
                         [&](auto const& item)
                         { return is_live(item) && item.second.is_own; });
         for (auto const& item : crashes)
-            if (is_live(item) &&
-                (repeated || (item.second.is_own && item.second.confirmed)))
-                result.push_back({.content = content,
-                                  .crash = item.first,
-                                  .confirmed = item.second.confirmed,
-                                  .expires = item.second.expires});
+        {
+            published_suspicion const suspicion{.content = content,
+                                                .crash = item.first,
+                                                .confirmed =
+                                                    item.second.confirmed,
+                                                .expires = item.second.expires};
+            if (!is_live(item))
+                continue;
+            if (ran_at_several && has_own)
+                repeated.push_back(suspicion);
+            else if (item.second.is_own && item.second.confirmed)
+                single.push_back(suspicion);
+        }
     }
-    std::stable_sort(result.begin(), result.end(),
-                     [](auto const& left, auto const& right)
-                     { return left.expires > right.expires; });
-    result.resize(std::min(result.size(), max_kept_suspicions));
-    return result;
+    auto const expires_later = [](auto const& left, auto const& right)
+    { return left.expires > right.expires; };
+    std::stable_sort(repeated.begin(), repeated.end(), expires_later);
+    std::stable_sort(single.begin(), single.end(), expires_later);
+    repeated.insert(repeated.end(), single.begin(), single.end());
+    repeated.resize(std::min(repeated.size(), max_kept_suspicions));
+    return repeated;
 }
 
 void kept_suspicions::add(published_suspicion const& suspicion, bool is_own,
--- a/src/libpollenhall/kept_suspicions_test.cpp
+++ b/src/libpollenhall/kept_suspicions_test.cpp
@@ -7,6 +7,8 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
+#include <algorithm>
+
 using namespace pollenhall;
 
 namespace
@@ -77,6 +79,23 @@
         node.hear(suspicion_of(2, true), now);
         CHECK(node.kept(now).empty());
     }
+    SUBCASE("a request that ran at several crashes rather than others")
+    {
+        node.report(suspicion_of(1, true), now);
+        node.report(suspicion_of(2, true), now);
+        for (std::uint64_t i = 0; i < max_kept_suspicions; ++i)
+        {
+            auto later = suspicion_of(3, true);
+            later.content = fingerprint(100 + i);
+            later.time_left = seconds{900};
+            node.report(later, now);
+        }
+        auto const kept = node.kept(now);
+        CHECK(kept.size() == max_kept_suspicions);
+        CHECK(std::count_if(kept.begin(), kept.end(),
+                            [](auto const& item)
+                            { return item.content == fingerprint(1); }) == 2);
+    }
     SUBCASE("no more than the limit")
     {
         for (std::uint64_t i = 0; i < 2 * max_kept_suspicions; ++i)
--- a/src/pollenhalld/suspicion_registry.cpp
+++ b/src/pollenhalld/suspicion_registry.cpp
@@ -119,8 +119,11 @@
     if (kept.empty() || kept == stored_)
         return;
     is_calling_ = true;
-    auto const time_to_live =
-        std::chrono::ceil<seconds>(kept.front().expires - now);
+    auto const last = std::max_element(kept.begin(), kept.end(),
+                                       [](auto const& left, auto const& right) {
+                                           return left.expires < right.expires;
+                                       });
+    auto const time_to_live = std::chrono::ceil<seconds>(last->expires - now);
     store_.submit(
         [this, time_to_live, kept = std::move(kept),
          key = prefix_ + settings_.name.value()](etcd_store& store)
