Sidecar: read pipelined requests ahead and answer them in order

Cause: a connection read one request at a time, so a request that was sent behind another waited unread and its time was counted only from when it was parsed. A connection with a slow first response held the others beyond their timeout; the response to a request with Connection: close did not announce the close; a body that stopped arriving was waited for without end. Change: each request of a connection is an exchange of its own, timed from its first byte, started when it is complete, answered in order. A request that is not idempotent runs alone on its connection, because all requests behind a response that closes the connection are sent again. A body without progress for the idle timeout gets 408. Ruled out: starting later requests only after the response before (their time passes), closing behind the first response (started work is lost).

--- a/src/pollenhall_sidecar/change_feed.cpp
+++ b/src/pollenhall_sidecar/change_feed.cpp
@@ -108,7 +108,7 @@
                 [](request_error)
             {
                 log_event("peer_request_not_readable", log_level::warning);
-                return mesh::write_response({.status = 400}, "GET");
+                return mesh::http_response{.status = 400};
             },
             .limits =
                 []
@@ -119,7 +119,7 @@
             }};
 }
 
-void change_feed::serve(std::shared_ptr<server_connection> const& from,
+void change_feed::serve(std::shared_ptr<server_exchange> const& from,
                         mesh::http_request const& request)
 {
     auto const after = query_number(request.target, "after=");
@@ -128,28 +128,26 @@
     {
         log_event("peer_request_not_readable", log_level::warning)
             .add("from", from->remote_host());
-        return from->respond(mesh::write_response({.status = 404}, "GET"),
-                             false);
+        return from->respond({.status = 404}, false);
     }
     if (!current_ || *wait == 0 || mirror_.revision() > store_revision(*after))
         return respond(from, store_revision(*after));
     auto const request_id = ++last_request_id_;
     pending_.emplace(
         request_id,
-        pending_request{.connection = from,
+        pending_request{.exchange = from,
                         .after = store_revision(*after),
                         .timeout = timers_.after(
                             milliseconds(std::min(*wait, max_wait_ms)),
                             [this, request_id] { on_timeout(request_id); })});
 }
 
-void change_feed::respond(std::shared_ptr<server_connection> const& to,
+void change_feed::respond(std::shared_ptr<server_exchange> const& to,
                           store_revision after) const
 {
     auto const text = write_changes(
         {.changes = mirror_.changes_after(after), .current = current_});
-    to->respond(mesh::write_response({.status = 200, .body = text}, "GET"),
-                false);
+    to->respond({.status = 200, .body = text}, false);
 }
 
 void change_feed::set_current(bool current)
@@ -166,7 +164,7 @@
     for (auto& [request_id, request] : requests)
     {
         timers_.cancel(request.timeout);
-        respond(request.connection, request.after);
+        respond(request.exchange, request.after);
     }
 }
 
@@ -174,7 +172,7 @@
 {
     auto const request = pending_.extract(request_id);
     if (!request.empty())
-        respond(request.mapped().connection, request.mapped().after);
+        respond(request.mapped().exchange, request.mapped().after);
 }
 
 } // namespace pollenhall::sidecar
--- a/src/pollenhall_sidecar/change_feed.hpp
+++ b/src/pollenhall_sidecar/change_feed.hpp
@@ -50,14 +50,14 @@
 private:
     struct pending_request
     {
-        std::shared_ptr<server_connection> connection;
+        std::shared_ptr<server_exchange> exchange;
         store_revision after;
         deadline_timers::handle timeout{};
     };
 
-    void serve(std::shared_ptr<server_connection> const& from,
+    void serve(std::shared_ptr<server_exchange> const& from,
                mesh::http_request const& request);
-    void respond(std::shared_ptr<server_connection> const& to,
+    void respond(std::shared_ptr<server_exchange> const& to,
                  store_revision after) const;
     void on_timeout(std::uint64_t request_id);
 
--- a/src/pollenhall_sidecar/control_node.hpp
+++ b/src/pollenhall_sidecar/control_node.hpp
@@ -115,7 +115,7 @@
                     std::function<void(exchange_result const&)> const& on_end);
     // The pool of connections to the control port of a peer.
     client_pool& peer_pool(mesh::host_address const& host);
-    void receive_suspicions(std::shared_ptr<server_connection> const& from,
+    void receive_suspicions(std::shared_ptr<server_exchange> const& from,
                             std::string const& body);
     void send_suspicions(std::vector<crash_suspicion> const& suspicions);
     // Adds the suspicions in a host entry.
--- a/src/pollenhall_sidecar/control_peers.cpp
+++ b/src/pollenhall_sidecar/control_peers.cpp
@@ -199,7 +199,7 @@
 }
 
 void control_node::receive_suspicions(
-    std::shared_ptr<server_connection> const& from, std::string const& body)
+    std::shared_ptr<server_exchange> const& from, std::string const& body)
 {
     auto const received = parse_suspicions(body);
     if (!received.ok())
@@ -207,10 +207,9 @@
         log_event("peer_request_not_readable", log_level::warning)
             .add("from", from->remote_host())
             .add("error", std::string(received.status().message()));
-        return from->respond(mesh::write_response({.status = 400}, "POST"),
-                             false);
+        return from->respond({.status = 400}, false);
     }
-    from->respond(mesh::write_response({.status = 200}, "POST"), false);
+    from->respond({.status = 200}, false);
     auto const news = suspicions_.hear(*received, wall_now());
     if (news.empty())
         return;
--- a/src/pollenhall_sidecar/origin_call.cpp
+++ b/src/pollenhall_sidecar/origin_call.cpp
@@ -39,12 +39,12 @@
 } // namespace
 
 origin_call::origin_call(traffic_node& node,
-                         std::shared_ptr<server_connection> caller,
+                         std::shared_ptr<server_exchange> caller,
                          mesh_call call, mesh::route const& route)
     : node_(node), caller_(std::move(caller)), call_(std::move(call)),
       routes_(node.routes_), route_(route),
       policy_({.idempotent = route.idempotent, .max_runs = route.attempts}),
-      arrived_(mono_now())
+      arrived_(caller_->arrived())
 {
     ++node_.open_calls_;
 }
@@ -417,9 +417,7 @@
             .add("version", call_.metadata.version.value());
         auto response = result.response;
         response.fields.remove_hop_by_hop();
-        return finish(mesh::write_response(
-            response, call_.request.method,
-            node_.stopping_ ? "Connection: close\r\n" : ""));
+        return finish(response);
     }
     auto const waited =
         std::chrono::duration_cast<milliseconds>(mono_now() - arrived_);
@@ -452,12 +450,12 @@
     }
 }
 
-void origin_call::finish(std::string bytes)
+void origin_call::finish(mesh::http_response const& response)
 {
     done_ = true;
     node_.timers_.cancel(timeout_timer_);
     node_.timers_.cancel(hedge_timer_);
-    caller_->respond(std::move(bytes), node_.stopping_);
+    caller_->respond(response, node_.stopping_);
 }
 
 } // namespace pollenhall::sidecar
--- a/src/pollenhall_sidecar/origin_call.hpp
+++ b/src/pollenhall_sidecar/origin_call.hpp
@@ -13,7 +13,7 @@
 class origin_call : public std::enable_shared_from_this<origin_call>
 {
 public:
-    origin_call(traffic_node& node, std::shared_ptr<server_connection> caller,
+    origin_call(traffic_node& node, std::shared_ptr<server_exchange> caller,
                 mesh_call call, mesh::route const& route);
     ~origin_call();
     origin_call(origin_call const&) = delete;
@@ -59,10 +59,10 @@
     void on_disconnect();
     void cancel_attempts();
     void respond(mesh::next_step step, attempt_result const& result);
-    void finish(std::string bytes);
+    void finish(mesh::http_response const& response);
 
     traffic_node& node_;
-    std::shared_ptr<server_connection> caller_;
+    std::shared_ptr<server_exchange> caller_;
     mesh_call call_;
     // Keeps the table that owns route_ alive.
     std::shared_ptr<mesh::route_table const> routes_;
--- a/src/pollenhall_sidecar/traffic_node.cpp
+++ b/src/pollenhall_sidecar/traffic_node.cpp
@@ -94,16 +94,16 @@
            {
                int const status = error == request_error::header_too_large ? 431
                                   : error == request_error::body_too_large ? 413
-                                  : error == request_error::header_timeout ? 408
+                                  : error == request_error::read_timeout   ? 408
                                   : error == request_error::no_memory      ? 503
                                                                       : 400;
                log_event("request_not_readable", log_level::warning)
                    .add("status", status)
                    .add("bytes_held",
                         static_cast<std::int64_t>(memory_budget_->held()));
-               return make_response(
-                   status, "not_readable", {},
-                   status == 503 ? memory_retry_after : milliseconds{0}, true);
+               return make_response(status, "not_readable", {},
+                                    status == 503 ? memory_retry_after
+                                                  : milliseconds{0});
            },
            .limits =
                [this]
@@ -126,8 +126,7 @@
                [this](request_error)
            {
                log_event("peer_request_not_readable", log_level::warning);
-               return make_response(400, "not_readable", {}, milliseconds{0},
-                                    true);
+               return make_response(400, "not_readable", {}, milliseconds{0});
            },
            .limits =
                []
@@ -290,10 +289,10 @@
     return pool;
 }
 
-std::string traffic_node::make_response(int status, std::string_view reason,
-                                        std::string const& id,
-                                        milliseconds retry_after,
-                                        bool close) const
+mesh::http_response traffic_node::make_response(int status,
+                                                std::string_view reason,
+                                                std::string const& id,
+                                                milliseconds retry_after) const
 {
     mesh::http_response response{.status = status};
     if (!id.empty())
@@ -306,11 +305,10 @@
                                 ms.substr(1));
     }
     response.body = std::string(reason) + "\n";
-    return mesh::write_response(
-        response, "GET", close || stopping_ ? "Connection: close\r\n" : "");
+    return response;
 }
 
-void traffic_node::reject(std::shared_ptr<server_connection> const& to,
+void traffic_node::reject(std::shared_ptr<server_exchange> const& to,
                           int status, std::string_view reason,
                           std::string const& id, milliseconds retry_after)
 {
@@ -325,7 +323,7 @@
 }
 
 void traffic_node::on_caller_request(
-    std::shared_ptr<server_connection> const& from, mesh::http_request request)
+    std::shared_ptr<server_exchange> const& from, mesh::http_request request)
 {
     last_request_ = mono_now();
     auto const& names = options_.headers;
@@ -346,6 +344,8 @@
         host == nullptr ? nullptr : routes_->find(*host, request.target);
     if (route == nullptr)
         return reject(from, 404, "no_route", *id, milliseconds{0});
+    if (!from->may_start(route->idempotent))
+        return from->postpone(std::move(request));
     auto timeout = parse_ms(request.fields.find(names.time_left_ms))
                        .value_or(default_caller_timeout);
     if (route->timeout.count() > 0)
@@ -362,7 +362,11 @@
                      .objective = route->objective,
                      .is_retry = parent != nullptr && parent->is_retry,
                      .version = routes_->config().version},
-        .deadline = last_request_ + timeout};
+        .deadline = from->arrived() + timeout};
+    // The time may have passed while the body arrived, or while earlier
+    // requests of the connection were served.
+    if (time_left(call.deadline, last_request_).count() == 0)
+        return reject(from, 503, "no_time_left", *id, milliseconds{0});
     request.fields.remove_hop_by_hop();
     for (auto const* name :
          {&names.expected_incarnation, &names.not_run, &names.incarnation,
@@ -376,8 +380,8 @@
         ->start();
 }
 
-void traffic_node::on_peer_request(
-    std::shared_ptr<server_connection> const& from, mesh::http_request request)
+void traffic_node::on_peer_request(std::shared_ptr<server_exchange> const& from,
+                                   mesh::http_request request)
 {
     last_request_ = mono_now();
     auto const& names = options_.headers;
@@ -389,13 +393,12 @@
     auto const timeout = parse_ms(request.fields.find(names.time_left_ms));
     if (id == nullptr || !metadata || !timeout)
         return from->respond(
-            make_response(400, "not_a_call", {}, milliseconds{0}, true), true);
+            make_response(400, "not_a_call", {}, milliseconds{0}), true);
     check_peer_version(metadata->version,
                        mesh::host_address(from->remote_host()));
     mesh_call call{.id = request_id(*id),
                    .metadata = *metadata,
-                   .deadline = last_request_ + *timeout};
-    auto const method = request.method;
+                   .deadline = from->arrived() + *timeout};
     request.fields.remove_hop_by_hop();
     request.fields.remove(call_metadata_header);
     call.request = std::move(request);
@@ -403,12 +406,12 @@
         mono_now() - stop_began_ >
             std::chrono::duration_cast<microseconds>(
                 (stop_deadline_ - stop_began_) * peer_calls_stop_fraction))
-        return respond_to_peer(from, method, call.id,
+        return respond_to_peer(from, call.id,
                                {.end = mesh::attempt_end::not_offered,
                                 .reason = "node_stopping",
                                 .gate_not_ready = true});
     if (memory_budget_->exhausted())
-        return respond_to_peer(from, method, call.id,
+        return respond_to_peer(from, call.id,
                                {.end = mesh::attempt_end::not_offered,
                                 .reason = "no_memory",
                                 .retry_after = memory_retry_after});
@@ -416,14 +419,14 @@
     // Set when the gate completes the call, possibly before submit returns, or
     // when the peer disconnects.
     auto const ended = std::make_shared<bool>(false);
-    auto const number = gate_.submit(
-        call,
-        [this, from, method, ended, id = call.id](attempt_result result)
-        {
-            *ended = true;
-            --open_gate_calls_;
-            respond_to_peer(from, method, id, std::move(result));
-        });
+    auto const number =
+        gate_.submit(call,
+                     [this, from, ended, id = call.id](attempt_result result)
+                     {
+                         *ended = true;
+                         --open_gate_calls_;
+                         respond_to_peer(from, id, std::move(result));
+                     });
     if (*ended)
         return;
     from->set_disconnect_handler(
@@ -437,8 +440,7 @@
         });
 }
 
-void traffic_node::respond_to_peer(std::shared_ptr<server_connection> const& to,
-                                   std::string const& method,
+void traffic_node::respond_to_peer(std::shared_ptr<server_exchange> const& to,
                                    request_id const& id, attempt_result result)
 {
     gate_report const report{.end = result.end,
@@ -457,9 +459,7 @@
     response.fields.remove_hop_by_hop();
     response.fields.set(options_.headers.request_id, id.value());
     response.fields.set(gate_report_header, format_gate_report(report));
-    to->respond(mesh::write_response(response, method,
-                                     stopping_ ? "Connection: close\r\n" : ""),
-                stopping_);
+    to->respond(response, stopping_);
 }
 
 void traffic_node::check_peer_version(mesh::config_version version,
--- a/src/pollenhall_sidecar/traffic_node.hpp
+++ b/src/pollenhall_sidecar/traffic_node.hpp
@@ -61,20 +61,18 @@
 private:
     friend class origin_call;
 
-    void on_caller_request(std::shared_ptr<server_connection> const& from,
+    void on_caller_request(std::shared_ptr<server_exchange> const& from,
                            mesh::http_request request);
-    void on_peer_request(std::shared_ptr<server_connection> const& from,
+    void on_peer_request(std::shared_ptr<server_exchange> const& from,
                          mesh::http_request request);
-    void respond_to_peer(std::shared_ptr<server_connection> const& to,
-                         std::string const& method, request_id const& id,
-                         attempt_result result);
-    void reject(std::shared_ptr<server_connection> const& to, int status,
+    void respond_to_peer(std::shared_ptr<server_exchange> const& to,
+                         request_id const& id, attempt_result result);
+    void reject(std::shared_ptr<server_exchange> const& to, int status,
                 std::string_view reason, std::string const& id,
                 milliseconds retry_after);
-    [[nodiscard]] std::string make_response(int status, std::string_view reason,
-                                            std::string const& id,
-                                            milliseconds retry_after,
-                                            bool close = false) const;
+    [[nodiscard]] mesh::http_response
+    make_response(int status, std::string_view reason, std::string const& id,
+                  milliseconds retry_after) const;
     void on_crash(upstream_crash const& crash);
     void publish_suspicions(std::vector<crash_suspicion> suspicions);
     // Records that a connection to a peer was lost during a call. The peer may
