Sidecar: a planned stop takes only what it can finish, and loses nothing

Change: shutdown_policy decides, without I/O: a request is accepted if it times out before the process ends, or, while the platform still sends callers, if its route usually takes less than the rest; inner calls to the end. A stop waits for connections that read or write, and for silence only while it accepts requests.

--- /dev/null
+++ b/src/include/pollenhall/mesh/shutdown_policy.hpp
@@ -0,0 +1,68 @@
+// Decides which requests a node still accepts during a planned stop, and when
+// it may end. The platform notices the stop after two seconds and ends the
+// process at a fixed time, so requests keep arriving for a while, and some of
+// them take longer than what is left.
+
+#pragma once
+
+#include <pollenhall/ids.hpp>
+
+namespace pollenhall::mesh
+{
+
+/// Settings of `shutdown_policy`.
+struct shutdown_options
+{
+    /// Time from the start of the stop to the end of the process.
+    milliseconds grace{0};
+    /// Fraction of `grace` after which calls of peers are rejected, so that
+    /// they go to another upstream.
+    double peer_calls_fraction = 0.2;
+    /// Fraction of `grace` after which requests of callers are rejected.
+    double caller_requests_fraction = 0.55;
+    /// The platform stops sending callers after two failed readiness checks,
+    /// one second apart. New requests are expected at least until then.
+    milliseconds min_time{2'300};
+    /// Time without a request after which no more are expected.
+    milliseconds quiet_period{400};
+};
+
+/// A request that arrives during the stop.
+struct stopping_request
+{
+    /// Time at which it is answered at the latest.
+    mono_time deadline{};
+    /// Time that nearly all requests of its route take; zero if unknown.
+    milliseconds usual_time{0};
+    /// Whether a request that runs at the upstream of this host makes it. That
+    /// request fails without it.
+    bool is_inner_call = false;
+};
+
+/// The stop of one node. Not thread-safe.
+class shutdown_policy
+{
+public:
+    shutdown_policy(shutdown_options options, mono_time began);
+
+    /// Whether the request can be answered before the process ends.
+    [[nodiscard]] bool accepts(stopping_request const& request,
+                               mono_time now) const;
+    [[nodiscard]] bool accepts_peer_calls(mono_time now) const;
+    /// Whether the process may end, given that it serves nothing and accepted
+    /// the last request at `last_accepted`.
+    [[nodiscard]] bool may_end_idle(mono_time last_accepted,
+                                    mono_time now) const;
+    /// Time at which the process ends.
+    [[nodiscard]] mono_time end() const { return began_ + options_.grace; }
+    [[nodiscard]] mono_time began() const { return began_; }
+
+private:
+    // Whether `fraction` of the grace period has passed.
+    [[nodiscard]] bool passed(double fraction, mono_time now) const;
+
+    shutdown_options options_;
+    mono_time began_;
+};
+
+} // namespace pollenhall::mesh
--- a/src/pollenhall_sidecar/listener.cpp
+++ b/src/pollenhall_sidecar/listener.cpp
@@ -4,6 +4,8 @@
 
 #include <pollenhall/io/log_event.hpp>
 
+#include <algorithm>
+
 namespace pollenhall::sidecar
 {
 namespace
@@ -86,6 +88,17 @@
     acceptor_.close(error);
 }
 
+bool listener::is_idle() const
+{
+    return std::all_of(connections_.begin(), connections_.end(),
+                       [](auto const& item)
+                       {
+                           auto const connection = item.lock();
+                           return !connection || connection->is_closed() ||
+                                  connection->is_idle();
+                       });
+}
+
 void listener::close_when_idle()
 {
     for (auto const& item : connections_)
--- a/src/pollenhall_sidecar/listener.hpp
+++ b/src/pollenhall_sidecar/listener.hpp
@@ -24,6 +24,9 @@
     absl::Status open(asio::ip::tcp::endpoint const& address);
     /// Stops accepting connections; open ones are not affected.
     void stop_accepting();
+    /// Whether no connection has a request that is being read or served, or a
+    /// response that is being written.
+    [[nodiscard]] bool is_idle() const;
     /// Closes each connection as soon as it is idle.
     void close_when_idle();
 
--- a/src/pollenhall_sidecar/origin_call.cpp
+++ b/src/pollenhall_sidecar/origin_call.cpp
@@ -455,7 +455,7 @@
     done_ = true;
     node_.timers_.cancel(timeout_timer_);
     node_.timers_.cancel(hedge_timer_);
-    caller_->respond(response, node_.stopping_);
+    caller_->respond(response, node_.shutdown_.has_value());
 }
 
 } // namespace pollenhall::sidecar
--- a/src/pollenhall_sidecar/sidecar_fixture.hpp
+++ b/src/pollenhall_sidecar/sidecar_fixture.hpp
@@ -72,6 +72,8 @@
     std::deque<step> script;
     std::vector<mesh::http_request> received;
     int disconnects = 0;
+    // Size of each response's body; 0 for the name and the request's body.
+    std::size_t body_size = 0;
 
     /// Whether a request is waiting for its response.
     [[nodiscard]] bool has_pending_request() const { return !pending_.empty(); }
@@ -114,6 +116,8 @@
             script.pop_front();
         mesh::http_response response{.status = 200,
                                      .body = name_ + " " + request.body};
+        if (body_size > 0)
+            response.body.assign(body_size, 'b');
         response.fields.add(names.request_id,
                             *request.fields.find(names.request_id));
         if (action == step::reject)
--- a/src/pollenhall_sidecar/sidecar_test.cpp
+++ b/src/pollenhall_sidecar/sidecar_test.cpp
@@ -349,6 +349,46 @@
         CHECK(stopped);
         CHECK(mono_now() - began < seconds(4));
     }
+    SUBCASE("sends responses whole to callers that read slowly")
+    {
+        // Larger than the buffers of both sockets.
+        std::size_t const size = std::size_t{16} * 1'024 * 1'024;
+        nodes.first_upstream.body_size = size;
+        auto const request = nodes.make_request("GET", "/read/large");
+        asio::ip::tcp::socket caller(nodes.context);
+        caller.connect(nodes.first_options.outbound);
+        asio::write(caller, asio::buffer(mesh::write_request(request)));
+        nodes.run_until([&] { return nodes.request_count() == 2; });
+        nodes.run_for(milliseconds{2'600});
+        CHECK_FALSE(stopped);
+        std::string received(size, ' ');
+        std::size_t read = 0;
+        caller.non_blocking(true);
+        nodes.run_until(
+            [&]
+            {
+                std::error_code error;
+                read += caller.read_some(
+                    asio::buffer(received.data(), received.size()), error);
+                return read > size || error == asio::error::eof;
+            });
+        CHECK(read > size);
+        nodes.run_until([&] { return stopped; });
+        CHECK(stopped);
+    }
+    SUBCASE("ends although a caller keeps trying")
+    {
+        nodes.run_until(
+            [&]
+            {
+                if (!stopped)
+                    nodes.call("GET", "/read/a");
+                nodes.run_for(milliseconds{50});
+                return stopped;
+            });
+        // Requests are rejected from 2.2 s on.
+        CHECK(mono_now() - began < milliseconds{2'700});
+    }
     SUBCASE("rejects new requests late in the grace period")
     {
         nodes.run_for(milliseconds(2'250));
@@ -358,6 +398,67 @@
     }
 }
 
+TEST_CASE("a stopping node rejects a request that could outlast it")
+{
+    two_nodes nodes;
+    nodes.set_only_host(0);
+    auto slow = make_route("/slow/", false);
+    slow.timeout = seconds{4};
+    nodes.first.set_routes(std::make_shared<mesh::route_table const>(
+        mesh::configuration{.routes = {slow, make_route("/read/", true)}}));
+    auto const slow_request = [&]
+    {
+        auto request = nodes.make_request("POST", "/slow/a");
+        request.fields.set(names.time_left_ms, "9000");
+        return request;
+    };
+    // Keeps the node from ending early.
+    nodes.first_upstream.script = {step::hang};
+    std::optional<exchange_result> open;
+    nodes.start(slow_request(),
+                [&](exchange_result result) { open = std::move(result); });
+    nodes.run_until([&] { return nodes.request_count() == 1; });
+    nodes.first.stop(seconds{6}, [] {});
+    nodes.run_for(milliseconds{2'500});
+    // More than half of the grace period is left.
+    auto const late = nodes.call(slow_request());
+    CHECK(late.response.status == 503);
+    CHECK(late.response.fields.find(names.retry_after) != nullptr);
+    CHECK(nodes.request_count() == 1);
+    CHECK(nodes.call("GET", "/read/a").response.status == 200);
+    nodes.first_upstream.respond_to_pending_requests();
+    nodes.run_until([&] { return open.has_value(); });
+    REQUIRE(open.has_value());
+    CHECK(open->response.status == 200);
+}
+
+TEST_CASE("a stopping node accepts the calls of a request that still runs")
+{
+    two_nodes nodes;
+    nodes.set_only_host(0);
+    auto slow = make_route("/slow/", false);
+    slow.timeout = seconds{3};
+    nodes.first.set_routes(std::make_shared<mesh::route_table const>(
+        mesh::configuration{.routes = {slow, make_route("/read/", true)}}));
+    nodes.first_upstream.script = {step::hang};
+    std::optional<exchange_result> open;
+    auto request = nodes.make_request("POST", "/slow/a");
+    request.fields.set(names.time_left_ms, "9000");
+    nodes.start(request,
+                [&](exchange_result result) { open = std::move(result); });
+    nodes.run_until([&] { return nodes.request_count() == 1; });
+    nodes.first.stop(seconds{4}, [] {});
+    nodes.run_for(milliseconds{2'400});
+    CHECK(nodes.call("GET", "/read/a").response.status == 503);
+    auto call = nodes.make_request("GET", "/read/b");
+    call.fields.set(names.request_id, "1.1");
+    CHECK(nodes.call(call).response.status == 200);
+    nodes.first_upstream.respond_to_pending_requests();
+    nodes.run_until([&] { return open.has_value(); });
+    REQUIRE(open.has_value());
+    CHECK(open->response.status == 200);
+}
+
 TEST_CASE("traffic_node quarantines a request that crashes upstreams")
 {
     two_nodes nodes;
--- a/src/pollenhall_sidecar/traffic_node.cpp
+++ b/src/pollenhall_sidecar/traffic_node.cpp
@@ -29,23 +29,12 @@
 constexpr milliseconds peer_pool_idle_timeout{20'000};
 // Retry-After delay while the node has no configuration.
 constexpr milliseconds no_configuration_retry_after{300};
-// The platform stops sending callers after two failed readiness checks, one
-// second apart. New requests are accepted at least until then.
-constexpr milliseconds min_stop_time{2'300};
-// Time without requests after which no more are expected during shutdown.
-constexpr milliseconds quiet_period{400};
-// Fraction of the shutdown grace period after which calls of peers are
-// rejected, so that they go to another upstream.
-constexpr double peer_calls_stop_fraction = 0.2;
 constexpr milliseconds stop_check_interval{50};
 // Maximum number of requests suspected after a crash. The most recently started
 // ones are chosen, as the cause started shortly before the crash.
 constexpr std::size_t max_suspects = 32;
 // Time in which the calls that were lost with a peer are collected.
 constexpr milliseconds lost_calls_delay{50};
-// Fraction of the shutdown grace period after which requests of callers are
-// rejected: later ones might not complete before the process ends.
-constexpr double caller_requests_stop_fraction = 0.55;
 // Fraction of the process's memory that connections may buffer. A body can be
 // in memory three times: as read, as forwarded, and in kernel buffers.
 constexpr double held_memory_fraction = 0.2;
@@ -319,13 +308,14 @@
         .add("version",
              routes_ ? routes_->config().version.value() : std::int64_t{0});
     metrics_.record_call(options_.service, reason, microseconds{0});
-    to->respond(make_response(status, reason, id, retry_after), stopping_);
+    to->respond(make_response(status, reason, id, retry_after),
+                shutdown_.has_value());
 }
 
 void traffic_node::on_caller_request(
     std::shared_ptr<server_exchange> const& from, mesh::http_request request)
 {
-    last_request_ = mono_now();
+    auto const now = mono_now();
     auto const& names = options_.headers;
     auto const* id = request.fields.find(names.request_id);
     if (id == nullptr || id->empty() ||
@@ -334,9 +324,6 @@
     if (!routes_)
         return reject(from, 503, "no_configuration", *id,
                       no_configuration_retry_after);
-    if (stopping_ && elapsed_stop_fraction() > caller_requests_stop_fraction)
-        return reject(from, 503, "node_stopping", *id,
-                      time_left(stop_deadline_, last_request_) + restart_time);
     if (memory_budget_->exhausted())
         return reject(from, 503, "no_memory", *id, memory_retry_after);
     auto const* host = request.fields.find("Host");
@@ -365,8 +352,12 @@
         .deadline = from->arrived() + timeout};
     // The time may have passed while the body arrived, or while earlier
     // requests of the connection were served.
-    if (time_left(call.deadline, last_request_).count() == 0)
+    if (time_left(call.deadline, now).count() == 0)
         return reject(from, 503, "no_time_left", *id, milliseconds{0});
+    if (!accepts(call, *route, parent != nullptr))
+        return reject(from, 503, "node_stopping", *id,
+                      time_left(shutdown_->end(), now) + restart_time);
+    last_accepted_ = now;
     request.fields.remove_hop_by_hop();
     for (auto const* name :
          {&names.expected_incarnation, &names.not_run, &names.incarnation,
@@ -383,7 +374,7 @@
 void traffic_node::on_peer_request(std::shared_ptr<server_exchange> const& from,
                                    mesh::http_request request)
 {
-    last_request_ = mono_now();
+    auto const now = mono_now();
     auto const& names = options_.headers;
     auto const* id = request.fields.find(names.request_id);
     auto const* metadata_text = request.fields.find(call_metadata_header);
@@ -402,10 +393,7 @@
     request.fields.remove_hop_by_hop();
     request.fields.remove(call_metadata_header);
     call.request = std::move(request);
-    if (stopping_ &&
-        mono_now() - stop_began_ >
-            std::chrono::duration_cast<microseconds>(
-                (stop_deadline_ - stop_began_) * peer_calls_stop_fraction))
+    if (shutdown_ && !shutdown_->accepts_peer_calls(now))
         return respond_to_peer(from, call.id,
                                {.end = mesh::attempt_end::not_offered,
                                 .reason = "node_stopping",
@@ -415,6 +403,7 @@
                                {.end = mesh::attempt_end::not_offered,
                                 .reason = "no_memory",
                                 .retry_after = memory_retry_after});
+    last_accepted_ = now;
     ++open_gate_calls_;
     // Set when the gate completes the call, possibly before submit returns, or
     // when the peer disconnects.
@@ -459,7 +448,7 @@
     response.fields.remove_hop_by_hop();
     response.fields.set(options_.headers.request_id, id.value());
     response.fields.set(gate_report_header, format_gate_report(report));
-    to->respond(response, stopping_);
+    to->respond(response, shutdown_.has_value());
 }
 
 void traffic_node::check_peer_version(mesh::config_version version,
@@ -471,33 +460,37 @@
         on_newer_version_(version, host);
 }
 
-double traffic_node::elapsed_stop_fraction() const
+bool traffic_node::accepts(mesh_call const& call, mesh::route const& route,
+                           bool is_inner_call) const
 {
-    return std::chrono::duration<double>(mono_now() - stop_began_) /
-           std::chrono::duration<double>(stop_deadline_ - stop_began_);
+    return !shutdown_ ||
+           shutdown_->accepts(
+               {.deadline = call.deadline,
+                .usual_time = response_stats_.overdue_delay(route.name)
+                                  .value_or(route.objective),
+                .is_inner_call = is_inner_call},
+               mono_now());
 }
 
 void traffic_node::stop(milliseconds grace, std::function<void()> on_stopped)
 {
-    if (stopping_)
+    if (shutdown_)
         return;
-    stopping_ = true;
-    stop_began_ = mono_now();
-    stop_deadline_ = stop_began_ + grace;
+    shutdown_.emplace(mesh::shutdown_options{.grace = grace}, mono_now());
     on_stopped_ = std::move(on_stopped);
     check_stopped();
 }
 
 void traffic_node::check_stopped()
 {
-    if (!stopping_ || !on_stopped_)
+    if (!shutdown_ || !on_stopped_)
         return;
     auto const now = mono_now();
-    bool const quiet = open_calls_ == 0 && open_gate_calls_ == 0 &&
-                       gate_.active_calls() == 0 &&
-                       now - last_request_ >= quiet_period &&
-                       now - stop_began_ >= min_stop_time;
-    if (!quiet && now < stop_deadline_)
+    bool const is_idle = open_calls_ == 0 && open_gate_calls_ == 0 &&
+                         gate_.active_calls() == 0 &&
+                         caller_listener_.is_idle() && peer_listener_.is_idle();
+    if (now < shutdown_->end() &&
+        !(is_idle && shutdown_->may_end_idle(last_accepted_, now)))
     {
         timers_.after(stop_check_interval, [this] { check_stopped(); });
         return;
@@ -506,7 +499,7 @@
         .add("open_calls", static_cast<std::int64_t>(open_calls_))
         .add("open_gate_calls", static_cast<std::int64_t>(open_gate_calls_))
         .add("after_ms",
-             std::chrono::duration_cast<milliseconds>(now - stop_began_)
+             std::chrono::duration_cast<milliseconds>(now - shutdown_->began())
                  .count());
     caller_listener_.stop_accepting();
     peer_listener_.stop_accepting();
--- a/src/pollenhall_sidecar/traffic_node.hpp
+++ b/src/pollenhall_sidecar/traffic_node.hpp
@@ -11,6 +11,7 @@
 #include "node_options.hpp"
 
 #include <pollenhall/mesh/response_stats.hpp>
+#include <pollenhall/mesh/shutdown_policy.hpp>
 
 #include <random>
 
@@ -53,9 +54,9 @@
         on_suspicions_ = std::move(action);
     }
 
-    /// Starts a graceful shutdown. New requests are accepted for part of
-    /// `grace`; `on_stopped` is called once all calls have ended and no more
-    /// arrive, or after `grace`.
+    /// Starts a graceful shutdown. Requests that can be answered within `grace`
+    /// are accepted for a part of it; `on_stopped` is called once all calls
+    /// have ended and no more arrive, or after `grace`.
     void stop(milliseconds grace, std::function<void()> on_stopped);
 
 private:
@@ -97,8 +98,9 @@
     // Ends the shutdown when no calls are left and no more are expected, or at
     // its deadline; otherwise checks again later.
     void check_stopped();
-    // Elapsed fraction of the shutdown grace period; valid only while stopping.
-    [[nodiscard]] double elapsed_stop_fraction() const;
+    // Whether a request may be accepted; false only while stopping.
+    [[nodiscard]] bool accepts(mesh_call const& call, mesh::route const& route,
+                               bool is_inner_call) const;
 
     node_metrics& metrics_;
     asio::io_context& context_;
@@ -135,10 +137,9 @@
     std::size_t open_calls_ = 0;
     // Calls of peers that have no response yet.
     std::size_t open_gate_calls_ = 0;
-    mono_time last_request_{};
-    bool stopping_ = false;
-    mono_time stop_began_{};
-    mono_time stop_deadline_{};
+    mono_time last_accepted_{};
+    // Set while stopping.
+    std::optional<mesh::shutdown_policy> shutdown_;
     std::function<void()> on_stopped_;
 };
 
