Tests: a response that is cut off at any byte is never delivered as whole

Cause: operators of a similar system saw a 200 with an empty or short body after an upstream had closed in the middle of the head of its response. Result: does not happen here, with upstreams nor between nodes, at any of the cut points (both data planes read with http_reader). Kept as a regression test.

--- a/src/libpollenhall_mesh/http_reader_test.cpp
+++ b/src/libpollenhall_mesh/http_reader_test.cpp
@@ -232,3 +232,53 @@
         CHECK(*fields.find("x-kept") == "4");
     }
 }
+
+TEST_CASE("a response that is cut off is never complete")
+{
+    std::string const body = "Hello, world";
+    std::string const head = "HTTP/1.1 200 OK\r\nRequest-Id: 7\r\n";
+    std::string bytes;
+    // Where a cut leaves a complete response.
+    std::size_t complete_from = 0;
+
+    SUBCASE("with a length")
+    {
+        bytes = head + "Content-Length: 12\r\nX-Last: 1\r\n\r\n" + body;
+        complete_from = bytes.size();
+    }
+    SUBCASE("after an interim response")
+    {
+        bytes = "HTTP/1.1 100 Continue\r\n\r\n" + head +
+                "Content-Length: 12\r\n\r\n" + body;
+        complete_from = bytes.size();
+    }
+    SUBCASE("in chunks, with a trailer")
+    {
+        bytes = head + "Transfer-Encoding: chunked\r\n\r\n5\r\nHello\r\n"
+                       "7;x=y\r\n, world\r\n0\r\nX-Trailer: 1\r\n\r\n";
+        complete_from = bytes.size();
+    }
+    SUBCASE("without a length, in its head")
+    {
+        bytes = head + "X-Last: 1\r\n\r\n" + body;
+        complete_from = bytes.size() - body.size();
+    }
+    for (std::size_t cut = 0; cut < bytes.size(); ++cut)
+    {
+        CAPTURE(cut);
+        http_reader reader(http_reader::direction::response);
+        std::string_view rest(bytes.data(), cut);
+        auto status = reader.feed(rest);
+        if (status == read_status::complete && !rest.empty())
+        {
+            // The interim response.
+            CHECK(reader.take_response().status == 100);
+            status = reader.feed(rest);
+        }
+        bool const is_complete = status == read_status::need_more
+                                     ? reader.finish() == read_status::complete
+                                     : status == read_status::complete &&
+                                           reader.take_response().status != 100;
+        CHECK(is_complete == (cut >= complete_from));
+    }
+}
--- a/src/pollenhall_sidecar/sidecar_fixture.hpp
+++ b/src/pollenhall_sidecar/sidecar_fixture.hpp
@@ -225,6 +225,53 @@
     std::array<char, 4'096> request_{};
 };
 
+/// A server that answers each connection's first request with given bytes and
+/// closes the connection.
+class cutting_server
+{
+public:
+    explicit cutting_server(asio::io_context& context)
+        : acceptor_(context, {asio::ip::make_address("127.0.0.3"), 0})
+    {
+        accept();
+    }
+
+    std::string response;
+    int requests = 0;
+
+    [[nodiscard]] asio::ip::tcp::endpoint address() const
+    {
+        return acceptor_.local_endpoint();
+    }
+
+private:
+    void accept()
+    {
+        acceptor_.async_accept(
+            [this](std::error_code error, asio::ip::tcp::socket socket)
+            {
+                if (error)
+                    return;
+                auto const peer =
+                    std::make_shared<asio::ip::tcp::socket>(std::move(socket));
+                peer->async_read_some(
+                    asio::buffer(request_),
+                    [this, peer](std::error_code failed, std::size_t)
+                    {
+                        if (failed)
+                            return;
+                        ++requests;
+                        std::error_code ignored; // the client may have left
+                        asio::write(*peer, asio::buffer(response), ignored);
+                    });
+                accept();
+            });
+    }
+
+    asio::ip::tcp::acceptor acceptor_;
+    std::array<char, 4'096> request_{};
+};
+
 inline mesh::route make_route(char const* prefix, bool idempotent)
 {
     return {.name = mesh::route_name(prefix),
--- a/src/pollenhall_sidecar/sidecar_test.cpp
+++ b/src/pollenhall_sidecar/sidecar_test.cpp
@@ -567,6 +567,67 @@
     CHECK(upstream.bytes_sent < max_bytes);
 }
 
+TEST_CASE("a response that ends early is never delivered")
+{
+    two_nodes nodes;
+    std::string head = "HTTP/1.1 200 OK\r\nTest-Id: 7\r\nTest-Signature: s\r\n";
+    cutting_server server(nodes.context);
+    auto options = nodes.first_options;
+
+    SUBCASE("by an upstream")
+    {
+        options.upstream = server.address();
+        nodes.set_only_host(0);
+    }
+    SUBCASE("by a peer")
+    {
+        head += gate_report_header + ": " +
+                format_gate_report({.end = mesh::attempt_end::answered,
+                                    .reason = "answered",
+                                    .load = {.limit = 20}}) +
+                "\r\n";
+        nodes.set_only_host(1);
+    }
+    options.outbound = free_address();
+    options.gate = free_address();
+    traffic_node node(nodes.context, options, nodes.metrics);
+    REQUIRE(node.open().ok());
+    node.set_upstream(nodes.first_upstream.registration());
+    mesh::configuration config{.routes = {make_route("/order/", false)}};
+    node.set_routes(std::make_shared<mesh::route_table const>(config));
+    bool const is_peer = options.upstream != server.address();
+    auto hosts = nodes.hosts();
+    hosts[0].gate_port = options.gate.port();
+    if (is_peer)
+    {
+        hosts[1].host =
+            mesh::host_address(server.address().address().to_string());
+        hosts[1].gate_port = server.address().port();
+        hosts.erase(hosts.begin());
+    }
+    else
+        hosts.pop_back();
+    nodes.caller = std::make_shared<client_pool>(
+        nodes.context, nodes.timers, options.outbound, client_pool_options{});
+    std::string const whole = head + "Content-Length: 12\r\n\r\nHello, world";
+    for (std::size_t cut = 0; cut <= whole.size(); ++cut)
+    {
+        CAPTURE(cut);
+        server.response = whole.substr(0, cut);
+        // Ends the pause of a peer that broke off.
+        node.set_hosts({});
+        node.set_hosts(hosts);
+        auto request = nodes.make_request(
+            "POST", ("/order/" + std::to_string(cut)).c_str());
+        request.fields.set(names.request_id, "7");
+        auto const result = nodes.call(request);
+        CHECK(result.response.status == (cut == whole.size() ? 200 : 502));
+        if (cut == whole.size())
+            CHECK(result.response.body == "Hello, world");
+    }
+    CHECK(server.requests == static_cast<int>(whole.size()) + 1);
+}
+
 TEST_CASE("an upstream that writes an earlier rejection again")
 {
     two_nodes nodes;
