Sidecar: an upstream that has left stays away when the node starts again

Cause: a node kept the state of its upstream in memory only. Change: the host entry says whether the upstream drains or has left, with the sequence number; the next process reads it before the upstream gets calls. While the store can't be read, a second heartbeat is needed. Ruled out: delaying the acknowledgement until the entry is written; a kill between the two still loses it (listed as open).

--- a/src/include/pollenhall/mesh/placement.hpp
+++ b/src/include/pollenhall/mesh/placement.hpp
@@ -41,6 +41,12 @@
     int slots = 0;
     // Whether its upstream accepts new work.
     bool ready = false;
+    // Whether its upstream has announced its end, and whether it has
+    // deregistered. Unlike `ready`, they say nothing about the node.
+    bool draining = false;
+    bool left = false;
+    // Sequence number of the upstream's last heartbeat before this entry.
+    std::int64_t sequence = 0;
     // Remaining time for which the upstream is slow after its start, counted
     // from when the entry is read.
     milliseconds cold_remaining{0};
--- a/src/include/pollenhall/mesh/registration.hpp
+++ b/src/include/pollenhall/mesh/registration.hpp
@@ -52,6 +52,18 @@
     [[nodiscard]] bool accepts_work() const { return !left && !last.draining; }
 };
 
+/// The last state of an upstream that a node has acknowledged, as its host entry
+/// keeps it for the next process of the node.
+struct upstream_departure
+{
+    incarnation_id incarnation;
+    std::optional<wall_time> started{};
+    // Sequence number of the last heartbeat before the entry was written.
+    std::int64_t sequence = 0;
+    bool draining = false;
+    bool left = false;
+};
+
 /// Why a heartbeat was rejected.
 enum class heartbeat_rejection
 {
@@ -94,6 +106,12 @@
                          std::optional<wall_time> started, int slots,
                          mono_time now);
 
+    /// Sets what an earlier process of this node acknowledged last. It is
+    /// consulted as long as no heartbeat of a newer start is known: a late
+    /// heartbeat must not bring back an upstream that has announced its end.
+    /// Drops the registered upstream if it contradicts this.
+    void set_earlier(upstream_departure const& earlier);
+
     /// The registered upstream; empty before the first heartbeat, health check
     /// or deregistration.
     [[nodiscard]] std::optional<registered_upstream> const& current() const
@@ -102,9 +120,15 @@
     }
 
 private:
+    // Why `heartbeat` is not newer than what an earlier process of this node
+    // acknowledged; empty if it is.
+    [[nodiscard]] std::optional<heartbeat_rejection>
+    rejection_by_earlier(upstream_heartbeat const& heartbeat) const;
+
     service_name service_;
     std::string address_;
     std::optional<registered_upstream> current_;
+    std::optional<upstream_departure> earlier_;
 };
 
 } // namespace pollenhall::mesh
--- a/src/libpollenhall_mesh/registration.cpp
+++ b/src/libpollenhall_mesh/registration.cpp
@@ -26,6 +26,8 @@
 {
     if (heartbeat.service != service_ || heartbeat.address != address_)
         return heartbeat_rejection::foreign;
+    if (auto const rejection = rejection_by_earlier(heartbeat))
+        return *rejection;
     if (current_)
     {
         auto const& registered = current_->last;
@@ -68,12 +70,42 @@
     return changed;
 }
 
+std::optional<heartbeat_rejection> upstream_registration::rejection_by_earlier(
+    upstream_heartbeat const& heartbeat) const
+{
+    if (!earlier_)
+        return std::nullopt;
+    bool const has_start_times =
+        earlier_->started.has_value() && heartbeat.started.has_value();
+    if (has_start_times && *heartbeat.started < *earlier_->started)
+        return heartbeat_rejection::old_start;
+    bool const same_start =
+        heartbeat.incarnation == earlier_->incarnation &&
+        (!has_start_times || *heartbeat.started == *earlier_->started);
+    if (same_start && earlier_->left)
+        return heartbeat_rejection::has_left;
+    if (same_start && earlier_->draining &&
+        heartbeat.sequence <= earlier_->sequence)
+        return heartbeat_rejection::old_sequence;
+    return std::nullopt;
+}
+
+void upstream_registration::set_earlier(upstream_departure const& earlier)
+{
+    earlier_ = earlier;
+    if (current_ && !current_->left && rejection_by_earlier(current_->last))
+        current_.reset();
+}
+
 bool upstream_registration::on_health_check(incarnation_id const& incarnation,
                                             std::optional<wall_time> started,
                                             int slots, mono_time now)
 {
     if (current_)
         return false;
+    if (earlier_ && earlier_->incarnation == incarnation &&
+        (earlier_->left || earlier_->draining))
+        return false;
     current_ = registered_upstream{.last = {.incarnation = incarnation,
                                             .service = service_,
                                             .address = address_,
--- a/src/libpollenhall_mesh/registration_test.cpp
+++ b/src/libpollenhall_mesh/registration_test.cpp
@@ -145,3 +145,64 @@
             RC_ASSERT(last.draining == newest.draining);
         }));
 }
+
+TEST_CASE("an upstream that an earlier process of the node knew")
+{
+    upstream_registration registration(service_name("orders"), "127.0.0.1:80");
+    constexpr mono_time now{seconds{1}};
+    upstream_departure earlier{.incarnation = incarnation_id("a"),
+                               .started = wall_time(milliseconds(100)),
+                               .sequence = 6};
+
+    SUBCASE("stays away after it has deregistered")
+    {
+        earlier.left = true;
+        registration.set_earlier(earlier);
+        CHECK(rejection_of(registration.on_heartbeat(
+                  make_heartbeat("a", 100, 7), now)) ==
+              heartbeat_rejection::has_left);
+        CHECK_FALSE(registration.on_health_check(incarnation_id("a"),
+                                                 std::nullopt, 40, now));
+        CHECK_FALSE(registration.current().has_value());
+    }
+    SUBCASE("is not ready again by a heartbeat from before it drained")
+    {
+        earlier.draining = true;
+        registration.set_earlier(earlier);
+        CHECK(rejection_of(registration.on_heartbeat(
+                  make_heartbeat("a", 100, 5), now)) ==
+              heartbeat_rejection::old_sequence);
+        CHECK(is_accepted(
+            registration.on_heartbeat(make_heartbeat("a", 100, 7, true), now)));
+        CHECK_FALSE(registration.current()->accepts_work());
+    }
+    SUBCASE("is dropped if it registered before this was known")
+    {
+        CHECK(is_accepted(
+            registration.on_heartbeat(make_heartbeat("a", 100, 5), now)));
+        earlier.left = true;
+        registration.set_earlier(earlier);
+        CHECK_FALSE(registration.current().has_value());
+    }
+    SUBCASE("does not return from an earlier start")
+    {
+        registration.set_earlier(earlier);
+        CHECK(rejection_of(registration.on_heartbeat(
+                  make_heartbeat("b", 90, 50), now)) ==
+              heartbeat_rejection::old_start);
+    }
+    SUBCASE("is replaced by a newer start, also with the same id")
+    {
+        earlier.left = true;
+        registration.set_earlier(earlier);
+        CHECK(is_accepted(
+            registration.on_heartbeat(make_heartbeat("a", 200, 1), now)));
+        CHECK(registration.current()->accepts_work());
+    }
+    SUBCASE("goes on if it did not announce its end")
+    {
+        registration.set_earlier(earlier);
+        CHECK(is_accepted(
+            registration.on_heartbeat(make_heartbeat("a", 100, 5), now)));
+    }
+}
--- a/src/pollenhall_sidecar/control_node.cpp
+++ b/src/pollenhall_sidecar/control_node.cpp
@@ -229,6 +229,8 @@
             hosts_changed = true;
         }
     }
+    if (!own_entry_known_ && mirror_.revision() > store_revision())
+        read_earlier_departure();
     if (hosts_changed)
         publish_hosts();
     if (mirror_.revision() > before)
@@ -287,6 +289,29 @@
     hosts_.insert_or_assign(host, std::move(*entry));
 }
 
+void control_node::read_earlier_departure()
+{
+    own_entry_known_ = true;
+    auto const own = hosts_.find(options_.host);
+    if (own != hosts_.end() && own->second.service == options_.service)
+    {
+        auto const& entry = own->second;
+        registration_.set_earlier({.incarnation = entry.incarnation,
+                                   .started = entry.started,
+                                   .sequence = entry.sequence,
+                                   .draining = entry.draining,
+                                   .left = entry.left});
+        log_event("earlier_entry_read")
+            .add("incarnation", entry.incarnation.value())
+            .add("draining", entry.draining)
+            .add("left", entry.left)
+            .add("sequence", entry.sequence)
+            .add("registered", registration_.current().has_value());
+    }
+    if (registration_.current())
+        upstream_changed("store_read");
+}
+
 void control_node::publish_hosts()
 {
     std::vector<mesh::host_entry> all;
@@ -296,7 +321,7 @@
             all.push_back(entry);
     // The entry of this host comes from the registration, which is newer than
     // the store.
-    if (registration_.current())
+    if (registration_.current() && upstream_is_trusted())
         all.push_back(own_entry());
     log_event("hosts_known")
         .add("hosts", static_cast<std::int64_t>(all.size()))
@@ -319,6 +344,9 @@
             .started = upstream.last.started,
             .slots = upstream.last.slots,
             .ready = upstream.accepts_work() && !stopping_,
+            .draining = upstream.last.draining,
+            .left = upstream.left,
+            .sequence = upstream.last.sequence,
             .cold_remaining = upstream.last.sequence <= 2
                                   ? upstream.last.cold_remaining
                                   : milliseconds{0},
@@ -340,6 +368,7 @@
         // without one.
         if (known.ok() && known->incarnation == entry.incarnation &&
             known->started == entry.started && known->ready == entry.ready &&
+            known->draining == entry.draining && known->left == entry.left &&
             known->slots == entry.slots &&
             known->gate_port == entry.gate_port && known->zone == entry.zone &&
             known->service == entry.service &&
@@ -418,6 +447,8 @@
         .add("draining", upstream.last.draining)
         .add("left", upstream.left)
         .add("cold_ms", upstream.last.cold_remaining.count());
+    if (!upstream_is_trusted())
+        return;
     traffic_.set_upstream(upstream);
     publish_hosts();
     publish_entry();
@@ -434,8 +465,14 @@
             .add("sequence", heartbeat.sequence)
             .add("service", heartbeat.service.value())
             .add("address", heartbeat.address);
-    else if (std::get<mesh::heartbeat_accepted>(result).changed)
-        upstream_changed("heartbeat");
+    else
+    {
+        bool const was_trusted = upstream_is_trusted();
+        early_heartbeats_ += own_entry_known_ ? 0 : 1;
+        if (std::get<mesh::heartbeat_accepted>(result).changed ||
+            was_trusted != upstream_is_trusted())
+            upstream_changed("heartbeat");
+    }
     return result;
 }
 
--- a/src/pollenhall_sidecar/control_node.hpp
+++ b/src/pollenhall_sidecar/control_node.hpp
@@ -99,6 +99,15 @@
     void apply_changes(store_items const& update, std::string_view source);
     void apply_configuration(std::string const& text, std::string_view source);
     void apply_host(store_item const& item);
+    // Reads what an earlier process of this node acknowledged to the upstream.
+    void read_earlier_departure();
+    // Whether the registered upstream may get calls. An earlier process of this
+    // node may have acknowledged that it leaves; as long as that is not known,
+    // a single heartbeat may be a late one.
+    [[nodiscard]] bool upstream_is_trusted() const
+    {
+        return own_entry_known_ || early_heartbeats_ > 1;
+    }
     void publish_hosts();
     void upstream_changed(std::string_view cause);
     [[nodiscard]] mesh::host_entry own_entry() const;
@@ -150,6 +159,10 @@
     std::shared_ptr<mesh::route_table const> routes_;
     std::map<mesh::host_address, mesh::host_entry> hosts_;
     mesh::upstream_registration registration_;
+    // Whether the entry of this host, or its absence, is known from the store.
+    bool own_entry_known_ = false;
+    // Heartbeats accepted while it is not.
+    int early_heartbeats_ = 0;
 
     mesh::suspicion_ledger suspicions_;
     bool adoption_scheduled_ = false;
--- a/src/pollenhall_sidecar/host_entry_json.cpp
+++ b/src/pollenhall_sidecar/host_entry_json.cpp
@@ -39,6 +39,9 @@
             {"started_ms", entry.started ? to_ms(*entry.started) : 0},
             {"slots", entry.slots},
             {"ready", entry.ready},
+            {"draining", entry.draining},
+            {"left", entry.left},
+            {"sequence", entry.sequence},
             {"cold_ms", entry.cold_remaining.count()},
             {"boot", entry.boot.value()},
             {"suspicions", suspicions}};
@@ -74,6 +77,12 @@
             .slots = static_cast<int>(
                 read_integer(item.at("slots"), 0, mesh::max_slots)),
             .ready = item.at("ready").get<bool>(),
+            // Missing in the entries of earlier versions.
+            .draining = item.value("draining", false),
+            .left = item.value("left", false),
+            .sequence = item.contains("sequence")
+                            ? read_integer(item.at("sequence"), -1, INT64_MAX)
+                            : 0,
             .cold_remaining = milliseconds(read_integer(
                 item.at("cold_ms"), 0, mesh::max_cold_time.count())),
             .boot = boot_id(read_integer(item.at("boot"), 0, INT64_MAX)),
