Sidecar: a stopping node serves its peers until it ends

Cause: a node in a planned stop marked its upstream not ready at once and rejected calls of peers after a fifth of the grace time, but ended 2.3 s or more after the signal, as callers come until then. Change: the host entry says that the node is stopping; placement adds a penalty, so that the upstream gets calls only if others are away or overloaded; the gate accepts calls that can end in time for as long as the node waits for callers.

--- a/src/include/pollenhall/mesh/placement.hpp
+++ b/src/include/pollenhall/mesh/placement.hpp
@@ -41,6 +41,9 @@
     int slots = 0;
     // Whether its upstream accepts new work.
     bool ready = false;
+    // Whether the node on it is in a planned stop. It still accepts calls for
+    // its upstream for a while.
+    bool stopping = false;
     // Whether its upstream has announced its end, and whether it has
     // deregistered. Unlike `ready`, they say nothing about the node.
     bool draining = false;
@@ -76,6 +79,10 @@
     /// Utilisation added for an upstream that fails all calls, scaled by the
     /// fraction of failed calls.
     double failure_penalty = 3;
+    /// Utilisation added for an upstream whose node is stopping. It gets calls
+    /// only if the others are overloaded or away, as when the nodes of a
+    /// service are restarted in turn while some of its upstreams leave.
+    double stopping_penalty = 1;
     /// Utilisation added while an upstream is slow after its start.
     double cold_penalty = 0.3;
     /// Age at which the reported load by other nodes counts half.
--- a/src/include/pollenhall/mesh/registration.hpp
+++ b/src/include/pollenhall/mesh/registration.hpp
@@ -52,8 +52,8 @@
     [[nodiscard]] bool accepts_work() const { return !left && !last.draining; }
 };
 
-/// The last state of an upstream that a node has acknowledged, as its host entry
-/// keeps it for the next process of the node.
+/// The last state of an upstream that a node has acknowledged, as its host
+/// entry keeps it for the next process of the node.
 struct upstream_departure
 {
     incarnation_id incarnation;
--- a/src/include/pollenhall/mesh/shutdown_policy.hpp
+++ b/src/include/pollenhall/mesh/shutdown_policy.hpp
@@ -15,9 +15,6 @@
 {
     /// Time from the start of the stop to the end of the process.
     milliseconds grace{0};
-    /// Fraction of `grace` after which calls of peers are rejected, so that
-    /// they go to another upstream.
-    double peer_calls_fraction = 0.2;
     /// Fraction of `grace` after which requests of callers are rejected.
     double caller_requests_fraction = 0.55;
     /// The platform stops sending callers after two failed readiness checks,
@@ -48,7 +45,10 @@
     /// Whether the request can be answered before the process ends.
     [[nodiscard]] bool accepts(stopping_request const& request,
                                mono_time now) const;
-    [[nodiscard]] bool accepts_peer_calls(mono_time now) const;
+    /// The same for a call of a peer to the upstream of this host. The last
+    /// upstream of a service may be the one whose node is stopping.
+    [[nodiscard]] bool accepts_peer_call(stopping_request const& call,
+                                         mono_time now) const;
     /// Whether the process may end, given that it serves nothing and accepted
     /// the last request at `last_accepted`.
     [[nodiscard]] bool may_end_idle(mono_time last_accepted,
@@ -58,6 +58,10 @@
     [[nodiscard]] mono_time began() const { return began_; }
 
 private:
+    // Whether the request has its response before the process ends. A request
+    // with a long timeout counts for `min_time` if it usually takes less.
+    [[nodiscard]] bool fits(stopping_request const& request,
+                            mono_time now) const;
     // Whether `fraction` of the grace period has passed.
     [[nodiscard]] bool passed(double fraction, mono_time now) const;
 
--- a/src/libpollenhall_mesh/placement.cpp
+++ b/src/libpollenhall_mesh/placement.cpp
@@ -88,6 +88,8 @@
         total += options_.zone_penalty;
     if (now < view.cold_until)
         total += options_.cold_penalty;
+    if (view.entry.stopping)
+        total += options_.stopping_penalty;
     if (!view.has_load)
         return total;
     auto const time_ratio = std::min(
--- a/src/libpollenhall_mesh/placement_test.cpp
+++ b/src/libpollenhall_mesh/placement_test.cpp
@@ -57,6 +57,24 @@
         {make_host("a", "z1"), make_host("b", "z2"), make_host("c", "z3")},
         now);
 
+    SUBCASE("uses an upstream of a stopping node only if others are away")
+    {
+        auto stopping = make_host("a", "z1");
+        stopping.stopping = true;
+        upstreams.set_hosts({stopping, make_host("b", "z2")}, now);
+        CHECK(distribute(upstreams, 20, false)["a"] == 0);
+        upstreams.on_unreachable(host_address("b"), now);
+        CHECK(distribute(upstreams, 20, false)["a"] == 20);
+    }
+    SUBCASE("uses an upstream of a stopping node if others are overloaded")
+    {
+        auto stopping = make_host("a", "z1");
+        stopping.stopping = true;
+        upstreams.set_hosts({stopping, make_host("b", "z2")}, now);
+        auto const calls = distribute(upstreams, 100, true);
+        CHECK(calls.at("b") > 60);
+        CHECK(calls.at("a") > 10);
+    }
     SUBCASE("stays in the own zone until its upstream is busy")
     {
         CHECK(distribute(upstreams, 10, true)["a"] == 10);
--- a/src/libpollenhall_mesh/shutdown_policy.cpp
+++ b/src/libpollenhall_mesh/shutdown_policy.cpp
@@ -16,24 +16,28 @@
            std::chrono::duration_cast<microseconds>(options_.grace * fraction);
 }
 
-bool shutdown_policy::accepts(stopping_request const& request,
-                              mono_time now) const
+bool shutdown_policy::fits(stopping_request const& request, mono_time now) const
 {
-    if (request.is_inner_call)
-        return now < end();
-    if (passed(options_.caller_requests_fraction, now))
-        return false;
     if (request.deadline <= end())
         return true;
-    // While the platform still sends callers here, a request with a long
-    // timeout is accepted if it is unlikely to use it up.
     return now - began_ <= options_.min_time &&
            now + request.usual_time <= end();
 }
 
-bool shutdown_policy::accepts_peer_calls(mono_time now) const
+bool shutdown_policy::accepts(stopping_request const& request,
+                              mono_time now) const
+{
+    if (request.is_inner_call)
+        return now < end();
+    return !passed(options_.caller_requests_fraction, now) &&
+           fits(request, now);
+}
+
+bool shutdown_policy::accepts_peer_call(stopping_request const& call,
+                                        mono_time now) const
 {
-    return !passed(options_.peer_calls_fraction, now);
+    // Later calls would keep the node from ending when its callers have gone.
+    return now - began_ <= options_.min_time && fits(call, now);
 }
 
 bool shutdown_policy::may_end_idle(mono_time last_accepted, mono_time now) const
--- a/src/libpollenhall_mesh/shutdown_policy_test.cpp
+++ b/src/libpollenhall_mesh/shutdown_policy_test.cpp
@@ -47,6 +47,16 @@
             {.deadline = began + seconds{9}, .is_inner_call = true},
             began + milliseconds{4'900}));
     }
+    SUBCASE("accepts calls of peers as long as it waits for callers")
+    {
+        stopping_request const call{.deadline = began + milliseconds{2'900}};
+        CHECK(policy.accepts_peer_call(call, began + milliseconds{2'200}));
+        CHECK_FALSE(
+            policy.accepts_peer_call(call, began + milliseconds{2'400}));
+        CHECK_FALSE(policy.accepts_peer_call(
+            {.deadline = began + seconds{9}, .usual_time = seconds{4}},
+            began + milliseconds{1'500}));
+    }
     SUBCASE("ends although clients keep trying")
     {
         auto const now = began + milliseconds{2'800};
--- a/src/libpollenhall_mesh/store_relays.cpp
+++ b/src/libpollenhall_mesh/store_relays.cpp
@@ -34,7 +34,7 @@
             zone_peers_.push_back(entry.host);
     for (auto const& entry : hosts)
         // A host whose upstream accepts no work may be about to stop.
-        if (entry.zone == options_.own_zone && entry.ready &&
+        if (entry.zone == options_.own_zone && entry.ready && !entry.stopping &&
             entry.host != options_.own_host)
             add(entry.host);
     add(options_.own_host);
--- a/src/pollenhall_sidecar/control_node.cpp
+++ b/src/pollenhall_sidecar/control_node.cpp
@@ -343,7 +343,8 @@
             .incarnation = upstream.last.incarnation,
             .started = upstream.last.started,
             .slots = upstream.last.slots,
-            .ready = upstream.accepts_work() && !stopping_,
+            .ready = upstream.accepts_work(),
+            .stopping = stopping_,
             .draining = upstream.last.draining,
             .left = upstream.left,
             .sequence = upstream.last.sequence,
@@ -368,6 +369,7 @@
         // without one.
         if (known.ok() && known->incarnation == entry.incarnation &&
             known->started == entry.started && known->ready == entry.ready &&
+            known->stopping == entry.stopping &&
             known->draining == entry.draining && known->left == entry.left &&
             known->slots == entry.slots &&
             known->gate_port == entry.gate_port && known->zone == entry.zone &&
--- a/src/pollenhall_sidecar/host_entry_json.cpp
+++ b/src/pollenhall_sidecar/host_entry_json.cpp
@@ -39,6 +39,7 @@
             {"started_ms", entry.started ? to_ms(*entry.started) : 0},
             {"slots", entry.slots},
             {"ready", entry.ready},
+            {"stopping", entry.stopping},
             {"draining", entry.draining},
             {"left", entry.left},
             {"sequence", entry.sequence},
@@ -78,6 +79,7 @@
                 read_integer(item.at("slots"), 0, mesh::max_slots)),
             .ready = item.at("ready").get<bool>(),
             // Missing in the entries of earlier versions.
+            .stopping = item.value("stopping", false),
             .draining = item.value("draining", false),
             .left = item.value("left", false),
             .sequence = item.contains("sequence")
--- a/src/pollenhall_sidecar/sidecar_test.cpp
+++ b/src/pollenhall_sidecar/sidecar_test.cpp
@@ -432,6 +432,19 @@
     CHECK(open->response.status == 200);
 }
 
+TEST_CASE("a stopping node serves its peers if they have no other upstream")
+{
+    two_nodes nodes;
+    nodes.set_only_host(1);
+    nodes.second.stop(seconds{5}, [] {});
+    nodes.run_for(milliseconds{1'800});
+    CHECK(nodes.call("POST", "/order/a").response.status == 200);
+    nodes.run_for(milliseconds{600});
+    auto const late = nodes.call("POST", "/order/b");
+    CHECK(late.response.status == 503);
+    CHECK(nodes.request_count() == 1);
+}
+
 TEST_CASE("a stopping node accepts the calls of a request that still runs")
 {
     two_nodes nodes;
--- a/src/pollenhall_sidecar/traffic_node.cpp
+++ b/src/pollenhall_sidecar/traffic_node.cpp
@@ -393,7 +393,10 @@
     request.fields.remove_hop_by_hop();
     request.fields.remove(call_metadata_header);
     call.request = std::move(request);
-    if (shutdown_ && !shutdown_->accepts_peer_calls(now))
+    if (shutdown_ &&
+        !shutdown_->accepts_peer_call(
+            {.deadline = call.deadline, .usual_time = call.metadata.objective},
+            now))
         return respond_to_peer(from, call.id,
                                {.end = mesh::attempt_end::not_offered,
                                 .reason = "node_stopping",
