--- a/src/pollenhall_sidecar/control_node.cpp
+++ b/src/pollenhall_sidecar/control_node.cpp
@@ -59,6 +59,7 @@
 
 void control_node::start()
 {
+    startup_end_ = mono_now() + options_.watch.startup_time;
     read_store();
     schedule_peer_poll();
     timers_.after(options_.vanished.probe_interval,
@@ -90,10 +91,20 @@
                     apply_changes(*items, "store");
                     set_receiving_changes(true);
                     publish_entry();
+                    if (mono_now() < startup_end_)
+                        postpone_watch();
                     wait_for_changes();
                 });
 }
 
+void control_node::postpone_watch()
+{
+    auto const now = mono_now();
+    next_store_attempt_ =
+        now + (now < startup_end_ ? jittered(options_.watch.startup_batch_delay)
+                                  : options_.watch.batch_delay);
+}
+
 void control_node::retry_after_store_error()
 {
     // Only a complete read shows which changes were missed.
@@ -144,9 +155,9 @@
                      set_receiving_changes(true);
                      apply_changes(*changes, "store");
                      publish_entry();
-                     if (changes->items.empty())
-                         return wait_for_changes();
-                     wait_for_changes_later(options_.watch.batch_delay);
+                     if (!changes->items.empty())
+                         postpone_watch();
+                     wait_for_changes();
                  });
 }
 
--- a/src/pollenhall_sidecar/control_node.hpp
+++ b/src/pollenhall_sidecar/control_node.hpp
@@ -84,6 +84,9 @@
     // from the store.
     void wait_for_changes();
     void wait_for_changes_later(milliseconds delay);
+    // Postpones the next watch of the store, so that it returns many changes.
+    // Meanwhile a relay may become known.
+    void postpone_watch();
     void retry_after_store_error();
     // A random time between half of `delay` and `delay`.
     [[nodiscard]] milliseconds jittered(milliseconds delay);
@@ -179,6 +182,7 @@
     bool store_reachable_ = false;
     bool receiving_changes_ = false;
     bool polling_peer_ = false;
+    mono_time startup_end_{};
     // Current backoff between calls to a failing store; 0 after a success.
     milliseconds retry_delay_{0};
     mono_time next_store_attempt_{};
