Sidecar: a process that stood still does not run requests whose time passed

Cause: requests that arrived while a node was stopped or suspended were timed from when they were read, so they ran with their whole time although their callers had given up (operators' report); and the steady clock leaves out the time for which a host is suspended, so deadlines set before were late by it.

--- a/src/pollenhall_sidecar/deadline_timers.cpp
+++ b/src/pollenhall_sidecar/deadline_timers.cpp
@@ -2,7 +2,7 @@
 
 #include "deadline_timers.hpp"
 
-#include <pollenhall/io/clocks.hpp>
+#include <algorithm>
 
 namespace pollenhall::sidecar
 {
@@ -12,10 +12,18 @@
 // Deadlines within this interval run together, to reduce wake-ups. A deadline
 // runs late by up to this time.
 constexpr microseconds timer_resolution{10'000};
+// The event loop's timer does not count the time for which the host is
+// suspended. It is set for at most this time, so that deadlines which have
+// passed meanwhile run soon.
+constexpr microseconds max_timer_delay{1'000'000};
 
 } // namespace
 
-deadline_timers::deadline_timers(asio::io_context& context) : timer_(context) {}
+deadline_timers::deadline_timers(asio::io_context& context,
+                                 std::function<mono_time()> clock)
+    : timer_(context), clock_(std::move(clock))
+{
+}
 
 deadline_timers::handle deadline_timers::at(mono_time time,
                                             std::function<void()> action)
@@ -29,7 +37,7 @@
 deadline_timers::handle deadline_timers::after(milliseconds delay,
                                                std::function<void()> action)
 {
-    return at(mono_now() + delay, std::move(action));
+    return at(clock_() + delay, std::move(action));
 }
 
 void deadline_timers::cancel(handle& deadline)
@@ -48,9 +56,7 @@
         return;
     armed_ = true;
     armed_for_ = first + timer_resolution;
-    timer_.expires_at(std::chrono::steady_clock::time_point(
-        std::chrono::duration_cast<std::chrono::steady_clock::duration>(
-            armed_for_.time_since_epoch())));
+    timer_.expires_after(std::min(max_timer_delay, armed_for_ - clock_()));
     timer_.async_wait(
         [this](std::error_code error)
         {
@@ -62,7 +68,7 @@
 void deadline_timers::run_due()
 {
     armed_ = false;
-    auto const now = mono_now();
+    auto const now = clock_();
     while (!actions_.empty() && actions_.begin()->first.time <= now)
     {
         auto const action = std::move(actions_.begin()->second);
--- a/src/pollenhall_sidecar/deadline_timers.hpp
+++ b/src/pollenhall_sidecar/deadline_timers.hpp
@@ -3,7 +3,7 @@
 
 #pragma once
 
-#include <pollenhall/ids.hpp>
+#include <pollenhall/io/clocks.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -28,7 +28,9 @@
         auto operator<=>(handle const&) const = default;
     };
 
-    explicit deadline_timers(asio::io_context& context);
+    /// `clock` is replaced in tests.
+    explicit deadline_timers(asio::io_context& context,
+                             std::function<mono_time()> clock = mono_now);
 
     /// Runs `action` at `time`.
     handle at(mono_time time, std::function<void()> action);
@@ -43,6 +45,7 @@
     void run_due();
 
     asio::steady_timer timer_;
+    std::function<mono_time()> clock_;
     std::map<handle, std::function<void()>> actions_;
     // Expiry of timer_; valid only while armed_.
     mono_time armed_for_{};
--- a/src/pollenhall_sidecar/sidecar_test.cpp
+++ b/src/pollenhall_sidecar/sidecar_test.cpp
@@ -6,6 +6,8 @@
 
 #include "sidecar_fixture.hpp"
 
+#include <thread>
+
 namespace
 {
 
@@ -852,3 +854,44 @@
     CHECK(read_back->load.limit == 40);
     CHECK_FALSE(parse_gate_report("answered").has_value());
 }
+
+TEST_CASE("deadlines that pass while the host is suspended run soon after")
+{
+    asio::io_context context;
+    milliseconds suspended{0};
+    deadline_timers timers(context, [&] { return mono_now() + suspended; });
+    bool ran = false;
+    timers.after(seconds{60}, [&] { ran = true; });
+    context.run_one_for(milliseconds{10});
+    CHECK_FALSE(ran);
+    suspended = seconds{120};
+    auto const began = mono_now();
+    while (!ran && mono_now() - began < seconds{3})
+        context.run_one_for(milliseconds{20});
+    CHECK(ran);
+    CHECK(mono_now() - began < milliseconds{1'500});
+}
+
+TEST_CASE("a node that was stopped for some seconds")
+{
+    two_nodes nodes;
+    nodes.set_only_host(0);
+    CHECK(nodes.call("GET", "/read/a").response.status == 200);
+    // The event loop stands still, as if the process were stopped, while the
+    // request waits in the socket.
+    asio::ip::tcp::socket caller(nodes.context);
+    caller.connect(nodes.first_options.outbound);
+    asio::write(caller, asio::buffer(mesh::write_request(
+                            nodes.make_request("POST", "/order/late"))));
+    std::this_thread::sleep_for(milliseconds{2'200});
+    nodes.run_for(milliseconds{300});
+
+    SUBCASE("does not run a request whose time has passed meanwhile")
+    {
+        CHECK(nodes.request_count() == 1);
+    }
+    SUBCASE("runs later requests")
+    {
+        CHECK(nodes.call("POST", "/order/b").response.status == 200);
+    }
+}
--- a/src/pollenhall_sidecar/traffic_node.cpp
+++ b/src/pollenhall_sidecar/traffic_node.cpp
@@ -127,7 +127,7 @@
            },
            .memory_budget = memory_budget_}),
       crash_guard_({.max_suspicions_per_crash = max_suspects}),
-      random_(std::random_device{}())
+      random_(std::random_device{}()), pauses_({}, mono_now())
 {
 }
 
@@ -140,11 +140,27 @@
         { return is_quarantined(call.request, call.metadata.service); });
     gate_.set_completion_handler([this](mesh_call const& call)
                                  { on_completed(call); });
+    tick();
     if (auto status = caller_listener_.open(options_.outbound); !status.ok())
         return status;
     return peer_listener_.open(options_.gate);
 }
 
+void traffic_node::tick()
+{
+    auto const pause = pauses_.on_tick(mono_now());
+    if (pause.count() > 0)
+        log_event("process_paused", log_level::warning)
+            .add("for_ms", pause.count());
+    timers_.after(mesh::pause_detector_options{}.tick_interval,
+                  [this] { tick(); });
+}
+
+mono_time traffic_node::arrival_of(server_exchange const& exchange) const
+{
+    return std::min(exchange.arrived(), pauses_.earliest_arrival(mono_now()));
+}
+
 void traffic_node::set_routes(std::shared_ptr<mesh::route_table const> routes)
 {
     routes_ = std::move(routes);
@@ -349,7 +365,7 @@
                      .objective = route->objective,
                      .is_retry = parent != nullptr && parent->is_retry,
                      .version = routes_->config().version},
-        .deadline = from->arrived() + timeout};
+        .deadline = arrival_of(*from) + timeout};
     // The time may have passed while the body arrived, or while earlier
     // requests of the connection were served.
     if (time_left(call.deadline, now).count() == 0)
@@ -389,7 +405,7 @@
                        mesh::host_address(from->remote_host()));
     mesh_call call{.id = request_id(*id),
                    .metadata = *metadata,
-                   .deadline = from->arrived() + *timeout};
+                   .deadline = arrival_of(*from) + *timeout};
     request.fields.remove_hop_by_hop();
     request.fields.remove(call_metadata_header);
     call.request = std::move(request);
--- a/src/pollenhall_sidecar/traffic_node.hpp
+++ b/src/pollenhall_sidecar/traffic_node.hpp
@@ -10,6 +10,7 @@
 #include "node_metrics.hpp"
 #include "node_options.hpp"
 
+#include <pollenhall/mesh/pause_detector.hpp>
 #include <pollenhall/mesh/response_stats.hpp>
 #include <pollenhall/mesh/shutdown_policy.hpp>
 
@@ -68,6 +69,10 @@
                          mesh::http_request request);
     void respond_to_peer(std::shared_ptr<server_exchange> const& to,
                          request_id const& id, attempt_result result);
+    // Records that the process runs.
+    void tick();
+    // Time from which the request's time counts.
+    [[nodiscard]] mono_time arrival_of(server_exchange const& exchange) const;
     void reject(std::shared_ptr<server_exchange> const& to, int status,
                 std::string_view reason, std::string const& id,
                 milliseconds retry_after);
@@ -137,6 +142,7 @@
     std::size_t open_calls_ = 0;
     // Calls of peers that have no response yet.
     std::size_t open_gate_calls_ = 0;
+    mesh::pause_detector pauses_;
     mono_time last_accepted_{};
     // Set while stopping.
     std::optional<mesh::shutdown_policy> shutdown_;
