--- a/src/pollenhall_sidecar/control_node.cpp
+++ b/src/pollenhall_sidecar/control_node.cpp
@@ -59,7 +59,6 @@
 
 void control_node::start()
 {
-    startup_end_ = mono_now() + options_.watch.startup_time;
     read_store();
     schedule_peer_poll();
     timers_.after(options_.vanished.probe_interval,
@@ -91,8 +90,13 @@
                     apply_changes(*items, "store");
                     set_receiving_changes(true);
                     publish_entry();
-                    if (mono_now() < startup_end_)
+                    // Later, entries are replaced rather than added, and a
+                    // delay would prolong the recovery.
+                    if (hosts_.empty())
+                    {
+                        startup_end_ = mono_now() + options_.watch.startup_time;
                         postpone_watch();
+                    }
                     wait_for_changes();
                 });
 }
--- a/src/pollenhall_sidecar/control_node.hpp
+++ b/src/pollenhall_sidecar/control_node.hpp
@@ -182,6 +182,7 @@
     bool store_reachable_ = false;
     bool receiving_changes_ = false;
     bool polling_peer_ = false;
+    // Until then the fleet is new; see store_watch_options::startup_time.
     mono_time startup_end_{};
     // Current backoff between calls to a failing store; 0 after a success.
     milliseconds retry_delay_{0};
--- a/src/pollenhall_sidecar/free_address.hpp
+++ b/src/pollenhall_sidecar/free_address.hpp
@@ -26,7 +26,7 @@
     static asio::io_context context;
     for (;;)
     {
-        asio::ip::tcp::endpoint const address(
+        asio::ip::tcp::endpoint address(
             asio::ip::make_address(host),
             static_cast<std::uint16_t>(first_port + next++ % port_count));
         asio::ip::tcp::acceptor probe(context);
--- a/src/pollenhall_sidecar/node_options.hpp
+++ b/src/pollenhall_sidecar/node_options.hpp
@@ -23,9 +23,9 @@
     /// Delay between a watch that returned events and the next watch, so that
     /// the entries of many starting hosts arrive in a few batches.
     milliseconds batch_delay{300};
-    /// The same within `startup_time` after the start of the process. All nodes
-    /// watch the store until they know the relays of their zone, and the
-    /// upstreams of a fleet that starts announce themselves over seconds.
+    /// The same within `startup_time` after a node has found no hosts in the
+    /// store. All nodes watch it until they know the relays of their zone, and
+    /// the upstreams of a new fleet announce themselves over seconds.
     milliseconds startup_batch_delay{1'000};
     milliseconds startup_time{4'000};
     /// Wait of a long poll to a peer. Peers are polled in turn, so an
--- a/src/pollenhall_sidecar/sidecar_test.cpp
+++ b/src/pollenhall_sidecar/sidecar_test.cpp
@@ -632,8 +632,8 @@
         // Ends the pause of a peer that broke off.
         node.set_hosts({});
         node.set_hosts(hosts);
-        auto request = nodes.make_request(
-            "POST", ("/order/" + std::to_string(cut)).c_str());
+        auto request =
+            nodes.make_request("POST", "/order/" + std::to_string(cut));
         request.fields.set(names.request_id, "7");
         auto const result = nodes.call(request);
         CHECK(result.response.status == (cut == whole.size() ? 200 : 502));
