Sidecar: the gate serves calls that name an earlier incarnation of its upstream

Cause: after a loss of power all upstreams have new incarnations, and every node knows the old ones from the store. Change: the gate, which alone knows the upstream beside it, names the current incarnation to it; the service is still compared. A call that waited while the upstream was replaced is sent with the new incarnation instead of failing.

--- a/src/pollenhall_sidecar/gate.cpp
+++ b/src/pollenhall_sidecar/gate.cpp
@@ -86,8 +86,9 @@
         return "upstream_left";
     if (upstream_->last.draining)
         return "upstream_draining";
-    if (metadata.expected_incarnation != upstream_->last.incarnation)
-        return "other_incarnation";
+    // The incarnation that the origin expects may be an earlier one: after all
+    // upstreams have been restarted, every node knows only what the store held
+    // before. This node knows the current one.
     return std::nullopt;
 }
 
@@ -206,6 +207,9 @@
                         .reason = "quarantined"});
         return;
     }
+    // The upstream may have been replaced while the call waited.
+    if (upstream_)
+        item.call.metadata.expected_incarnation = upstream_->last.incarnation;
     auto& request = item.call.request;
     request.fields.set(options_.headers.time_left_ms,
                        std::to_string(left.count()));
