--- a/src/include/pollenhall/mesh/placement.hpp
+++ b/src/include/pollenhall/mesh/placement.hpp
@@ -138,7 +138,7 @@
     /// Excludes a host that could not be reached for the next pause.
     void on_unreachable(host_address const& host, mono_time now);
     /// Excludes a host whose gate reports that its upstream accepts no work, or
-    /// that it has another incarnation than expected. Lasts until the entry of
+    /// that it belongs to another service. Lasts until the entry of
     /// the host changes or `pause` has passed.
     void on_not_ready(host_address const& host, milliseconds pause,
                       mono_time now);
--- a/src/pollenhall_sidecar/call.hpp
+++ b/src/pollenhall_sidecar/call.hpp
@@ -25,7 +25,8 @@
 struct call_metadata
 {
     service_name service;
-    // Upstream incarnation that the origin node chose.
+    // Upstream incarnation that the origin node chose; the gate replaces it by
+    // the current one.
     mesh::incarnation_id expected_incarnation;
     bool idempotent = false;
     mesh::call_rank rank{};
--- a/src/pollenhall_sidecar/gate.hpp
+++ b/src/pollenhall_sidecar/gate.hpp
@@ -1,7 +1,7 @@
 // Admission gate in front of the upstream on the node's own host. Every call to
 // that upstream, from local callers and from peers, passes through it. The gate
-// verifies the expected incarnation and the upstream's readiness, queues calls,
-// forwards them and classifies the responses.
+// verifies the service and the upstream's readiness, queues calls, forwards
+// them and classifies the responses.
 
 #pragma once
 
--- a/src/pollenhall_sidecar/sidecar_fixture.hpp
+++ b/src/pollenhall_sidecar/sidecar_fixture.hpp
@@ -157,22 +157,21 @@
     std::map<server_connection const*, std::string> rejections_;
 };
 
-/// An upstream that answers with a prefix and then with the same bytes again
-/// and again, until the client closes the connection.
-class endless_upstream
+/// A server that hands each connection to a test once its first bytes have
+/// arrived.
+class raw_server
 {
 public:
-    endless_upstream(asio::io_context& context, std::string prefix,
-                     std::string filler)
-        : acceptor_(context, {asio::ip::make_address("127.0.0.1"), 0}),
-          prefix_(std::move(prefix)), filler_(std::move(filler))
+    using connection = std::shared_ptr<asio::ip::tcp::socket>;
+
+    raw_server(asio::io_context& context, char const* host,
+               std::function<void(connection const&)> on_request)
+        : acceptor_(context, {asio::ip::make_address(host), 0}),
+          on_request_(std::move(on_request))
     {
         accept();
     }
 
-    std::size_t bytes_sent = 0;
-    int closed = 0;
-
     [[nodiscard]] asio::ip::tcp::endpoint address() const
     {
         return acceptor_.local_endpoint();
@@ -193,13 +192,40 @@
                     [this, peer](std::error_code failed, std::size_t)
                     {
                         if (!failed)
-                            send(peer, prefix_);
+                            on_request_(peer);
                     });
                 accept();
             });
     }
-    void send(std::shared_ptr<asio::ip::tcp::socket> const& to,
-              std::string const& bytes)
+
+    asio::ip::tcp::acceptor acceptor_;
+    std::function<void(connection const&)> on_request_;
+    std::array<char, 4'096> request_{};
+};
+
+/// An upstream that answers with a prefix and then with the same bytes again
+/// and again, until the client closes the connection.
+class endless_upstream
+{
+public:
+    endless_upstream(asio::io_context& context, std::string prefix,
+                     std::string filler)
+        : prefix_(std::move(prefix)), filler_(std::move(filler)),
+          server_(context, "127.0.0.1",
+                  [this](auto const& client) { send(client, prefix_); })
+    {
+    }
+
+    std::size_t bytes_sent = 0;
+    int closed = 0;
+
+    [[nodiscard]] asio::ip::tcp::endpoint address() const
+    {
+        return server_.address();
+    }
+
+private:
+    void send(raw_server::connection const& to, std::string const& bytes)
     {
         asio::async_write(*to, asio::buffer(bytes),
                           [this, to](std::error_code failed, std::size_t size)
@@ -212,21 +238,25 @@
                           });
     }
 
-    asio::ip::tcp::acceptor acceptor_;
     std::string prefix_;
     std::string filler_;
-    std::array<char, 4'096> request_{};
+    raw_server server_;
 };
 
-/// A server that answers each connection's first request with given bytes and
-/// closes the connection.
+/// A server that answers the first request of each connection with given bytes
+/// and closes the connection.
 class cutting_server
 {
 public:
     explicit cutting_server(asio::io_context& context)
-        : acceptor_(context, {asio::ip::make_address("127.0.0.3"), 0})
+        : server_(context, "127.0.0.3",
+                  [this](auto const& client)
+                  {
+                      ++requests;
+                      std::error_code ignored; // the client may have left
+                      asio::write(*client, asio::buffer(response), ignored);
+                  })
     {
-        accept();
     }
 
     std::string response;
@@ -234,35 +264,11 @@
 
     [[nodiscard]] asio::ip::tcp::endpoint address() const
     {
-        return acceptor_.local_endpoint();
+        return server_.address();
     }
 
 private:
-    void accept()
-    {
-        acceptor_.async_accept(
-            [this](std::error_code error, asio::ip::tcp::socket socket)
-            {
-                if (error)
-                    return;
-                auto const peer =
-                    std::make_shared<asio::ip::tcp::socket>(std::move(socket));
-                peer->async_read_some(
-                    asio::buffer(request_),
-                    [this, peer](std::error_code failed, std::size_t)
-                    {
-                        if (failed)
-                            return;
-                        ++requests;
-                        std::error_code ignored; // the client may have left
-                        asio::write(*peer, asio::buffer(response), ignored);
-                    });
-                accept();
-            });
-    }
-
-    asio::ip::tcp::acceptor acceptor_;
-    std::array<char, 4'096> request_{};
+    raw_server server_;
 };
 
 inline mesh::route make_route(char const* prefix, bool idempotent)
