--- a/src/include/pollenhall/mesh/registration.hpp
+++ b/src/include/pollenhall/mesh/registration.hpp
@@ -54,7 +54,7 @@
 
 /// The last state of an upstream that a node has acknowledged, as its host
 /// entry keeps it for the next process of the node.
-struct upstream_departure
+struct acknowledged_upstream
 {
     incarnation_id incarnation;
     std::optional<wall_time> started{};
@@ -106,11 +106,11 @@
                          std::optional<wall_time> started, int slots,
                          mono_time now);
 
-    /// Sets what an earlier process of this node acknowledged last. It is
-    /// consulted as long as no heartbeat of a newer start is known: a late
-    /// heartbeat must not bring back an upstream that has announced its end.
-    /// Drops the registered upstream if it contradicts this.
-    void set_earlier(upstream_departure const& earlier);
+    /// Sets the state that an earlier process of this node acknowledged last.
+    /// Heartbeats that are older are rejected, so that a late one does not
+    /// bring back an upstream that has announced its end. Drops the registered
+    /// upstream if its heartbeat would be rejected.
+    void set_acknowledged(acknowledged_upstream const& state);
 
     /// The registered upstream; empty before the first heartbeat, health check
     /// or deregistration.
@@ -120,15 +120,14 @@
     }
 
 private:
-    // Why `heartbeat` is not newer than what an earlier process of this node
-    // acknowledged; empty if it is.
+    // Why `heartbeat` is older than the acknowledged state; empty if it is not.
     [[nodiscard]] std::optional<heartbeat_rejection>
-    rejection_by_earlier(upstream_heartbeat const& heartbeat) const;
+    rejection_by_acknowledged(upstream_heartbeat const& heartbeat) const;
 
     service_name service_;
     std::string address_;
     std::optional<registered_upstream> current_;
-    std::optional<upstream_departure> earlier_;
+    std::optional<acknowledged_upstream> acknowledged_;
 };
 
 } // namespace pollenhall::mesh
--- a/src/include/pollenhall/mesh/shutdown_policy.hpp
+++ b/src/include/pollenhall/mesh/shutdown_policy.hpp
@@ -31,8 +31,8 @@
     mono_time deadline{};
     /// Time that nearly all requests of its route take; zero if unknown.
     milliseconds usual_time{0};
-    /// Whether a request that runs at the upstream of this host makes it. That
-    /// request fails without it.
+    /// Whether it is made by a request that runs at the upstream of this host
+    /// and would fail without it.
     bool is_inner_call = false;
 };
 
@@ -58,8 +58,8 @@
     [[nodiscard]] mono_time began() const { return began_; }
 
 private:
-    // Whether the request has its response before the process ends. A request
-    // with a long timeout counts for `min_time` if it usually takes less.
+    // Whether the response is expected before the process ends. Within
+    // `min_time` the usual time of the request decides, later its deadline.
     [[nodiscard]] bool fits(stopping_request const& request,
                             mono_time now) const;
     // Whether `fraction` of the grace period has passed.
--- a/src/libpollenhall_mesh/registration.cpp
+++ b/src/libpollenhall_mesh/registration.cpp
@@ -26,7 +26,7 @@
 {
     if (heartbeat.service != service_ || heartbeat.address != address_)
         return heartbeat_rejection::foreign;
-    if (auto const rejection = rejection_by_earlier(heartbeat))
+    if (auto const rejection = rejection_by_acknowledged(heartbeat))
         return *rejection;
     if (current_)
     {
@@ -70,30 +70,32 @@
     return changed;
 }
 
-std::optional<heartbeat_rejection> upstream_registration::rejection_by_earlier(
+std::optional<heartbeat_rejection>
+upstream_registration::rejection_by_acknowledged(
     upstream_heartbeat const& heartbeat) const
 {
-    if (!earlier_)
+    if (!acknowledged_)
         return std::nullopt;
     bool const has_start_times =
-        earlier_->started.has_value() && heartbeat.started.has_value();
-    if (has_start_times && *heartbeat.started < *earlier_->started)
+        acknowledged_->started.has_value() && heartbeat.started.has_value();
+    if (has_start_times && *heartbeat.started < *acknowledged_->started)
         return heartbeat_rejection::old_start;
     bool const same_start =
-        heartbeat.incarnation == earlier_->incarnation &&
-        (!has_start_times || *heartbeat.started == *earlier_->started);
-    if (same_start && earlier_->left)
+        heartbeat.incarnation == acknowledged_->incarnation &&
+        (!has_start_times || *heartbeat.started == *acknowledged_->started);
+    if (same_start && acknowledged_->left)
         return heartbeat_rejection::has_left;
-    if (same_start && earlier_->draining &&
-        heartbeat.sequence <= earlier_->sequence)
+    if (same_start && acknowledged_->draining &&
+        heartbeat.sequence <= acknowledged_->sequence)
         return heartbeat_rejection::old_sequence;
     return std::nullopt;
 }
 
-void upstream_registration::set_earlier(upstream_departure const& earlier)
+void upstream_registration::set_acknowledged(acknowledged_upstream const& state)
 {
-    earlier_ = earlier;
-    if (current_ && !current_->left && rejection_by_earlier(current_->last))
+    acknowledged_ = state;
+    if (current_ && !current_->left &&
+        rejection_by_acknowledged(current_->last))
         current_.reset();
 }
 
@@ -103,8 +105,8 @@
 {
     if (current_)
         return false;
-    if (earlier_ && earlier_->incarnation == incarnation &&
-        (earlier_->left || earlier_->draining))
+    if (acknowledged_ && acknowledged_->incarnation == incarnation &&
+        (acknowledged_->left || acknowledged_->draining))
         return false;
     current_ = registered_upstream{.last = {.incarnation = incarnation,
                                             .service = service_,
--- a/src/libpollenhall_mesh/registration_test.cpp
+++ b/src/libpollenhall_mesh/registration_test.cpp
@@ -150,14 +150,14 @@
 {
     upstream_registration registration(service_name("orders"), "127.0.0.1:80");
     constexpr mono_time now{seconds{1}};
-    upstream_departure earlier{.incarnation = incarnation_id("a"),
-                               .started = wall_time(milliseconds(100)),
-                               .sequence = 6};
+    acknowledged_upstream earlier{.incarnation = incarnation_id("a"),
+                                  .started = wall_time(milliseconds(100)),
+                                  .sequence = 6};
 
     SUBCASE("stays away after it has deregistered")
     {
         earlier.left = true;
-        registration.set_earlier(earlier);
+        registration.set_acknowledged(earlier);
         CHECK(rejection_of(registration.on_heartbeat(
                   make_heartbeat("a", 100, 7), now)) ==
               heartbeat_rejection::has_left);
@@ -168,7 +168,7 @@
     SUBCASE("is not ready again by a heartbeat from before it drained")
     {
         earlier.draining = true;
-        registration.set_earlier(earlier);
+        registration.set_acknowledged(earlier);
         CHECK(rejection_of(registration.on_heartbeat(
                   make_heartbeat("a", 100, 5), now)) ==
               heartbeat_rejection::old_sequence);
@@ -181,12 +181,12 @@
         CHECK(is_accepted(
             registration.on_heartbeat(make_heartbeat("a", 100, 5), now)));
         earlier.left = true;
-        registration.set_earlier(earlier);
+        registration.set_acknowledged(earlier);
         CHECK_FALSE(registration.current().has_value());
     }
     SUBCASE("does not return from an earlier start")
     {
-        registration.set_earlier(earlier);
+        registration.set_acknowledged(earlier);
         CHECK(rejection_of(registration.on_heartbeat(
                   make_heartbeat("b", 90, 50), now)) ==
               heartbeat_rejection::old_start);
@@ -194,14 +194,14 @@
     SUBCASE("is replaced by a newer start, also with the same id")
     {
         earlier.left = true;
-        registration.set_earlier(earlier);
+        registration.set_acknowledged(earlier);
         CHECK(is_accepted(
             registration.on_heartbeat(make_heartbeat("a", 200, 1), now)));
         CHECK(registration.current()->accepts_work());
     }
     SUBCASE("goes on if it did not announce its end")
     {
-        registration.set_earlier(earlier);
+        registration.set_acknowledged(earlier);
         CHECK(is_accepted(
             registration.on_heartbeat(make_heartbeat("a", 100, 5), now)));
     }
--- a/src/pollenhall_sidecar/control_node.cpp
+++ b/src/pollenhall_sidecar/control_node.cpp
@@ -90,8 +90,8 @@
                     apply_changes(*items, "store");
                     set_receiving_changes(true);
                     publish_entry();
-                    // Later, entries are replaced rather than added, and a
-                    // delay would prolong the recovery.
+                    // No other node has started yet. If all nodes of an older
+                    // fleet start again, a delay would prolong the recovery.
                     if (hosts_.empty())
                     {
                         startup_end_ = mono_now() + options_.watch.startup_time;
@@ -245,7 +245,7 @@
         }
     }
     if (!own_entry_known_ && mirror_.revision() > store_revision())
-        read_earlier_departure();
+        read_acknowledged_upstream();
     if (hosts_changed)
         publish_hosts();
     if (mirror_.revision() > before)
@@ -304,18 +304,18 @@
     hosts_.insert_or_assign(host, std::move(*entry));
 }
 
-void control_node::read_earlier_departure()
+void control_node::read_acknowledged_upstream()
 {
     own_entry_known_ = true;
     auto const own = hosts_.find(options_.host);
     if (own != hosts_.end() && own->second.service == options_.service)
     {
         auto const& entry = own->second;
-        registration_.set_earlier({.incarnation = entry.incarnation,
-                                   .started = entry.started,
-                                   .sequence = entry.sequence,
-                                   .draining = entry.draining,
-                                   .left = entry.left});
+        registration_.set_acknowledged({.incarnation = entry.incarnation,
+                                        .started = entry.started,
+                                        .sequence = entry.sequence,
+                                        .draining = entry.draining,
+                                        .left = entry.left});
         log_event("earlier_entry_read")
             .add("incarnation", entry.incarnation.value())
             .add("draining", entry.draining)
--- a/src/pollenhall_sidecar/control_node.hpp
+++ b/src/pollenhall_sidecar/control_node.hpp
@@ -103,7 +103,7 @@
     void apply_configuration(std::string const& text, std::string_view source);
     void apply_host(store_item const& item);
     // Reads what an earlier process of this node acknowledged to the upstream.
-    void read_earlier_departure();
+    void read_acknowledged_upstream();
     // Whether the registered upstream may get calls. An earlier process of this
     // node may have acknowledged that it leaves; as long as that is not known,
     // a single heartbeat may be a late one.
--- a/src/pollenhall_sidecar/gate.cpp
+++ b/src/pollenhall_sidecar/gate.cpp
@@ -86,9 +86,9 @@
         return "upstream_left";
     if (upstream_->last.draining)
         return "upstream_draining";
-    // The incarnation that the origin expects may be an earlier one: after all
-    // upstreams have been restarted, every node knows only what the store held
-    // before. This node knows the current one.
+    // The expected incarnation is not compared. After a restart of all
+    // upstreams the origins know only the earlier ones, and this node, which
+    // knows the current one, puts it into the request.
     return std::nullopt;
 }
 
--- a/src/pollenhall_sidecar/server_connection.hpp
+++ b/src/pollenhall_sidecar/server_connection.hpp
@@ -139,6 +139,7 @@
         return exchanges_.empty() && !writing_ && !reader_.started() &&
                read_ahead_.empty();
     }
+    /// Whether the connection is closed, or only discards input until it is.
     [[nodiscard]] bool is_closed() const { return closed_ || lingering_; }
     [[nodiscard]] std::string const& remote_host() const
     {
--- a/src/pollenhall_sidecar/sidecar_test.cpp
+++ b/src/pollenhall_sidecar/sidecar_test.cpp
@@ -142,6 +142,23 @@
     }
 }
 
+TEST_CASE("a call on a silent upstream is not started elsewhere")
+{
+    two_nodes nodes;
+    // Response times are known, so that an idempotent call would be hedged.
+    for (int i = 0; i < 25; ++i)
+        CHECK(nodes.call("POST", "/order/a").response.status == 200);
+    auto const request_count = nodes.request_count();
+    nodes.first_upstream.script = {step::hang};
+    nodes.second_upstream.script = {step::hang};
+
+    SUBCASE("if it may run once, and its outcome is reported as unknown")
+    {
+        CHECK(nodes.call("POST", "/order/b").response.status == 504);
+        CHECK(nodes.request_count() == request_count + 1);
+    }
+}
+
 TEST_CASE("traffic_node hedges a call whose response is overdue")
 {
     two_nodes nodes;
--- a/src/pollenhall_sidecar/traffic_node.hpp
+++ b/src/pollenhall_sidecar/traffic_node.hpp
@@ -69,9 +69,10 @@
                          mesh::http_request request);
     void respond_to_peer(std::shared_ptr<server_exchange> const& to,
                          request_id const& id, attempt_result result);
-    // Records that the process runs.
+    // Called at a fixed interval to detect pauses of the process.
     void tick();
-    // Time from which the request's time counts.
+    // When the request arrived: when it was read, or the beginning of a pause
+    // of the process that has just ended.
     [[nodiscard]] mono_time arrival_of(server_exchange const& exchange) const;
     void reject(std::shared_ptr<server_exchange> const& to, int status,
                 std::string_view reason, std::string const& id,
@@ -143,6 +144,7 @@
     // Calls of peers that have no response yet.
     std::size_t open_gate_calls_ = 0;
     mesh::pause_detector pauses_;
+    // When the last request of a caller or call of a peer was accepted.
     mono_time last_accepted_{};
     // Set while stopping.
     std::optional<mesh::shutdown_policy> shutdown_;
