Incarnations are visible ASCII: an unreadable id ended the process

Cause: the id was taken from the path as it is, registered, and written to the host entry. nlohmann::json throws for text that is not UTF-8, and nothing catches that on the control thread. A host entry of another writer could add a header field to calls by a line break in its incarnation.

--- a/src/include/pollenhall/mesh/registration.hpp
+++ b/src/include/pollenhall/mesh/registration.hpp
@@ -8,8 +8,11 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 
+#include <absl/status/statusor.h>
+
 namespace pollenhall::mesh
 {
 
@@ -22,6 +25,13 @@
 /// its previous start.
 using incarnation_id = strong_value<struct incarnation_id_tag, std::string>;
 
+/// Longest identifier of an incarnation that is accepted.
+inline constexpr std::size_t max_incarnation_bytes = 256;
+/// Checks an identifier from another process. It is written to header fields
+/// and to JSON, so only visible ASCII is accepted; returns `InvalidArgument`
+/// for anything else.
+absl::StatusOr<incarnation_id> parse_incarnation_id(std::string_view text);
+
 /// State that an upstream reports about itself.
 struct upstream_heartbeat
 {
--- a/src/libpollenhall_mesh/registration.cpp
+++ b/src/libpollenhall_mesh/registration.cpp
@@ -2,11 +2,24 @@
 
 #include <pollenhall/mesh/registration.hpp>
 
+#include <algorithm>
 #include <array>
 
 namespace pollenhall::mesh
 {
 
+absl::StatusOr<incarnation_id> parse_incarnation_id(std::string_view text)
+{
+    bool const is_visible_ascii = std::all_of(
+        text.begin(), text.end(), [](char c) { return c > ' ' && c < 0x7f; });
+    if (text.empty() || text.size() > max_incarnation_bytes ||
+        !is_visible_ascii)
+        return absl::InvalidArgumentError(
+            "incarnation is not 1 to " + std::to_string(max_incarnation_bytes) +
+            " characters of visible ASCII");
+    return incarnation_id(std::string(text));
+}
+
 std::string_view to_string(heartbeat_rejection reason)
 {
     constexpr std::array<std::string_view, 4> names{"foreign", "old_start",
--- a/src/libpollenhall_mesh/registration_test.cpp
+++ b/src/libpollenhall_mesh/registration_test.cpp
@@ -38,6 +38,24 @@
 
 } // namespace
 
+TEST_CASE("the identifier of an incarnation")
+{
+    SUBCASE("is visible ASCII, so that it fits a header field and JSON")
+    {
+        CHECK(parse_incarnation_id("i-7f3a91c2").ok());
+        for (std::string const text :
+             {"", "i-\xff\xfe", "i 1", "i-1\r\nSmuggled: 1", "\x7f",
+              "\xc3\xa9"})
+            CHECK_FALSE(parse_incarnation_id(text).ok());
+    }
+    SUBCASE("is bounded")
+    {
+        std::string const longest(max_incarnation_bytes, 'i');
+        CHECK(parse_incarnation_id(longest).ok());
+        CHECK_FALSE(parse_incarnation_id(longest + "i").ok());
+    }
+}
+
 TEST_CASE("a registered upstream")
 {
     upstream_registration registration(service_name("orders"), "127.0.0.1:80");
--- a/src/pollenhall_sidecar/control_node.cpp
+++ b/src/pollenhall_sidecar/control_node.cpp
@@ -523,14 +523,15 @@
          .deadline = mono_now() + health_check_timeout,
          .on_end = [this](exchange_result const& result)
          {
-             auto const* incarnation =
+             auto const* text =
                  result.response.fields.find(options_.headers.incarnation);
              log_event("upstream_health_checked")
                  .add("end", to_string(result.end))
                  .add("status", result.response.status)
-                 .add("incarnation",
-                      incarnation == nullptr ? "" : *incarnation);
-             if (result.response.status != 200 || incarnation == nullptr)
+                 .add("incarnation", text == nullptr ? "" : *text);
+             auto const incarnation =
+                 mesh::parse_incarnation_id(text == nullptr ? "" : *text);
+             if (result.response.status != 200 || !incarnation.ok())
              {
                  timers_.after(health_check_timeout,
                                [this] { check_upstream_health(); });
@@ -539,15 +540,13 @@
              int slots = assumed_slots;
              std::optional<wall_time> started;
              auto const own = hosts_.find(options_.host);
-             if (own != hosts_.end() &&
-                 own->second.incarnation.value() == *incarnation)
+             if (own != hosts_.end() && own->second.incarnation == *incarnation)
              {
                  slots = own->second.slots;
                  started = own->second.started;
              }
-             if (registration_.on_health_check(
-                     mesh::incarnation_id(*incarnation), started, slots,
-                     mono_now()))
+             if (registration_.on_health_check(*incarnation, started, slots,
+                                               mono_now()))
                  upstream_changed("health_check");
          }});
 }
--- a/src/pollenhall_sidecar/host_entry_json.cpp
+++ b/src/pollenhall_sidecar/host_entry_json.cpp
@@ -97,7 +97,9 @@
     asio::ip::make_address(entry.host.value(), error);
     if (error)
         return absl::InvalidArgumentError("host entry has an invalid address");
-    return absl::OkStatus();
+    if (entry.incarnation.value().empty())
+        return absl::OkStatus();
+    return mesh::parse_incarnation_id(entry.incarnation.value()).status();
 }
 
 } // namespace
