A reset peer connection no longer ends the process

Cause: the address of the peer is read when the connection is accepted; after a reset it is empty, and asio::ip::make_address throws for it in the poll. Change: a version without the peer's address is not polled; the store or another call brings it.

--- a/src/pollenhall_sidecar/control_peers.cpp
+++ b/src/pollenhall_sidecar/control_peers.cpp
@@ -57,7 +57,9 @@
 void control_node::on_newer_version(mesh::config_version version,
                                     mesh::host_address const& host)
 {
-    if (polling_peer_ || version <= this->version())
+    // The address of a peer is empty if its connection was reset before it was
+    // read.
+    if (polling_peer_ || version <= this->version() || host.value().empty())
         return;
     polling_peer_ = true;
     timers_.after(routes_ ? version_poll_delay : milliseconds{0},
