pollenhalld rejects an apply id or actor that is not UTF-8

Seen: an apply by an operator with the right to change ends the daemon. Cause: the same as for ids of upstreams: both texts are written to the store as JSON, whose writer throws, and nothing catches that on the store's thread. Change: such an apply is rejected with a message. Evidence: without the check the new test loses the connection to the daemon, and all later calls of the class fail to connect; with it the class passes.

--- a/src/pollenhalld/operator_server.cpp
+++ b/src/pollenhalld/operator_server.cpp
@@ -5,6 +5,7 @@
 #include "burn_report.hpp"
 #include "operator_access.hpp"
 
+#include <pollenhall/ini_document.hpp>
 #include <pollenhall/io/log_event.hpp>
 #include <pollenhall/trace_context.hpp>
 #include <pollenhall/version.hpp>
@@ -236,11 +237,14 @@
                rpc::apply_request const& request) override
     {
         require_ok(access_.require_log_in("apply"));
+        // Both are stored as JSON.
         if (request.apply_id.empty() ||
-            request.apply_id.size() > max_apply_id_bytes)
-            throw_error("apply_id must have 1 to 64 bytes");
-        if (request.actor.size() > max_actor_bytes)
-            throw_error("actor must have at most 128 bytes");
+            request.apply_id.size() > max_apply_id_bytes ||
+            !is_valid_utf8(request.apply_id))
+            throw_error("apply_id must have 1 to 64 bytes of UTF-8");
+        if (request.actor.size() > max_actor_bytes ||
+            !is_valid_utf8(request.actor))
+            throw_error("actor must have at most 128 bytes of UTF-8");
         apply_parameters parameters{.documents = from_rpc(request.documents),
                                     .base = std::nullopt,
                                     .apply_id = request.apply_id,
--- a/testsuite/test_operators.py
+++ b/testsuite/test_operators.py
@@ -66,6 +66,30 @@
             "burn": ("read", lambda client: client.burn("testers")),
         }
 
+    # Guards against an operator's text that ends the daemon: the store's
+    # documents are JSON, which cannot hold it.
+    def test_an_apply_with_text_that_is_not_utf_8_is_rejected(self):
+        from pollenhall_operator.ttypes import apply_request, operator_error
+        unreadable = "\udcff\udcfe"
+        # Unchanged documents are not written.
+        documents = read_documents(self.folder)
+        documents[0].text += b"\n; changed\n"
+        for texts in ({"apply_id": unreadable}, {"actor": unreadable}):
+            client = self.connect(self.front, "testers/changer",
+                                  KEYS["testers/changer"])
+            protocol = client._oprot
+            protocol.writeString = lambda text, out=protocol: out.writeBinary(
+                text.encode("utf-8", "surrogateescape"))
+            request = apply_request(**{
+                "documents": documents, "base_generation": -1,
+                "apply_id": uuid.uuid4().hex, "actor": "test", **texts})
+            with self.assertRaises(operator_error) as raised:
+                client.apply(request)
+            self.assertIn("UTF-8", raised.exception.message)
+            client._iprot.trans.close()
+        self.assertEqual(self.refusal_message(
+            "testers/reader", lambda client: client.report("testers")), "")
+
     def refusal_message(self, operator, call):
         """Makes a call; returns the message of a refusal or an empty text."""
         from pollenhall_operator.ttypes import operator_error
