A departure is acknowledged when the store or two peers have it

Cause: the acknowledgement was given before the entry was written, so the next process knew nothing of it and accepted a late heartbeat. The same for draining; and an upstream that was trusted before its entry could be read was dropped without a word to the gate. Peers write the entry for the node and send it back until the store has it. What an earlier process acknowledged is merged, never replaced by an older state.

--- /dev/null
+++ b/src/include/pollenhall/mesh/departures.hpp
@@ -0,0 +1,100 @@
+// Keeps the departure of an upstream, which its node has acknowledged, beyond
+// the end of the node's process. The host entry in the store does so as soon as
+// it is written. While the store cannot be reached from the node, peers keep
+// the entry in its place: they write it to the store if they can, and send it
+// back to the host, where a restarted process may know only the older entry.
+
+#pragma once
+
+#include <pollenhall/mesh/placement.hpp>
+#include <pollenhall/mesh/registration.hpp>
+
+#include <map>
+#include <set>
+#include <vector>
+
+namespace pollenhall::mesh
+{
+
+/// Whether `stored` contains the departure in `departing`, or a later start of
+/// the upstream.
+[[nodiscard]] bool contains_departure(host_entry const& stored,
+                                      host_entry const& departing);
+
+/// Settings of `departure_replicas`.
+struct departure_replica_options
+{
+    host_address own_host;
+    /// Peers that must hold the entry. A second one, because a peer may end
+    /// before the store has it.
+    std::size_t min_holders = 2;
+    /// Peers that are asked at the same time.
+    std::size_t fanout = 3;
+};
+
+/// Chooses the peers that hold this node's departure. Not thread-safe.
+class departure_replicas
+{
+public:
+    explicit departure_replicas(departure_replica_options options);
+
+    /// Begins with a new departure.
+    void reset();
+    /// Peers to ask next; none while enough requests are open or answered.
+    /// Peers that have failed are asked again after all others.
+    [[nodiscard]] std::vector<host_address>
+    next_peers(std::map<host_address, host_entry> const& hosts);
+    void on_held(host_address const& peer);
+    void on_failure(host_address const& peer);
+    /// Whether enough peers hold the entry. If fewer than `min_holders` are
+    /// known, all of them must.
+    [[nodiscard]] bool
+    is_held(std::map<host_address, host_entry> const& hosts) const;
+
+private:
+    // Peers of this node that may hold an entry.
+    [[nodiscard]] std::vector<host_address>
+    candidates(std::map<host_address, host_entry> const& hosts) const;
+
+    departure_replica_options options_;
+    std::set<host_address> holders_;
+    std::set<host_address> asked_;
+    std::set<host_address> failed_;
+};
+
+/// Settings of `departure_keeper`.
+struct departure_keeper_options
+{
+    /// Longer than an upstream serves after it has announced its departure, and
+    /// than its heartbeats can be late.
+    milliseconds lifetime{60'000};
+    /// Maximum number of entries; the oldest one is dropped for a new one.
+    std::size_t max_entries = 1'024;
+};
+
+/// Entries that a node keeps for its peers. Not thread-safe.
+class departure_keeper
+{
+public:
+    explicit departure_keeper(departure_keeper_options options);
+
+    /// Keeps the entry of a host in place of an earlier one.
+    void keep(host_entry entry, mono_time now);
+    /// Drops entries that have expired or that the store contains; returns the
+    /// others.
+    std::vector<host_entry>
+    pending(std::map<host_address, host_entry> const& stored, mono_time now);
+    [[nodiscard]] bool empty() const { return kept_.empty(); }
+
+private:
+    struct kept_entry
+    {
+        host_entry entry;
+        mono_time expires{};
+    };
+
+    departure_keeper_options options_;
+    std::map<host_address, kept_entry> kept_;
+};
+
+} // namespace pollenhall::mesh
--- a/src/include/pollenhall/mesh/registration.hpp
+++ b/src/include/pollenhall/mesh/registration.hpp
@@ -116,11 +116,13 @@
                          std::optional<wall_time> started, int slots,
                          mono_time now);
 
-    /// Sets the state that an earlier process of this node acknowledged last.
+    /// Adds a state that an earlier process of this node acknowledged.
     /// Heartbeats that are older are rejected, so that a late one does not
-    /// bring back an upstream that has announced its end. Drops the registered
-    /// upstream if its heartbeat would be rejected.
-    void set_acknowledged(acknowledged_upstream const& state);
+    /// bring back an upstream that has announced its end. If the registered
+    /// upstream is of the same start, it takes over the announcement; one of
+    /// an earlier start is dropped. Returns whether the registered upstream
+    /// changed.
+    bool set_acknowledged(acknowledged_upstream const& state);
 
     /// The registered upstream; empty before the first heartbeat, health check
     /// or deregistration.
@@ -130,6 +132,9 @@
     }
 
 private:
+    // Joins `state` with what is known of the same start, or keeps the later
+    // start.
+    void merge_acknowledged(acknowledged_upstream const& state);
     // Why `heartbeat` is older than the acknowledged state; empty if it is not.
     [[nodiscard]] std::optional<heartbeat_rejection>
     rejection_by_acknowledged(upstream_heartbeat const& heartbeat) const;
--- a/src/libpollenhall_mesh/registration.cpp
+++ b/src/libpollenhall_mesh/registration.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace pollenhall::mesh
 {
@@ -77,6 +78,10 @@
         current_ = registered_upstream{.last = {.incarnation = incarnation,
                                                 .service = service_,
                                                 .address = address_}};
+    // Tells this start from a later one with the same identifier.
+    if (!current_->last.started && acknowledged_ &&
+        acknowledged_->incarnation == incarnation)
+        current_->last.started = acknowledged_->started;
     current_->last_contact = now;
     bool const changed = !current_->left;
     current_->left = true;
@@ -104,12 +109,50 @@
     return std::nullopt;
 }
 
-void upstream_registration::set_acknowledged(acknowledged_upstream const& state)
+void upstream_registration::merge_acknowledged(
+    acknowledged_upstream const& state)
 {
-    acknowledged_ = state;
-    if (current_ && !current_->left &&
-        rejection_by_acknowledged(current_->last))
+    if (!acknowledged_)
+    {
+        acknowledged_ = state;
+        return;
+    }
+    bool const has_start_times =
+        acknowledged_->started.has_value() && state.started.has_value();
+    bool const same_start =
+        acknowledged_->incarnation == state.incarnation &&
+        (!has_start_times || *acknowledged_->started == *state.started);
+    if (!same_start)
+    {
+        if (!has_start_times || *state.started > *acknowledged_->started)
+            acknowledged_ = state;
+        return;
+    }
+    if (!acknowledged_->started)
+        acknowledged_->started = state.started;
+    acknowledged_->sequence = std::max(acknowledged_->sequence, state.sequence);
+    acknowledged_->draining = acknowledged_->draining || state.draining;
+    acknowledged_->left = acknowledged_->left || state.left;
+}
+
+bool upstream_registration::set_acknowledged(acknowledged_upstream const& state)
+{
+    merge_acknowledged(state);
+    auto const rejection =
+        current_ ? rejection_by_acknowledged(current_->last) : std::nullopt;
+    if (!rejection || current_->left)
+        return false;
+    switch (*rejection)
+    {
+    case heartbeat_rejection::has_left:
+        current_->left = true;
+        return true;
+    case heartbeat_rejection::old_sequence:
+        return !std::exchange(current_->last.draining, true);
+    default:
         current_.reset();
+        return true;
+    }
 }
 
 bool upstream_registration::on_health_check(incarnation_id const& incarnation,
--- a/src/pollenhall_sidecar/control_node.cpp
+++ b/src/pollenhall_sidecar/control_node.cpp
@@ -53,7 +53,8 @@
       vanished_(options_.vanished),
       registration_(options_.service,
                     options_.upstream.address().to_string() + ":" +
-                        std::to_string(options_.upstream.port()))
+                        std::to_string(options_.upstream.port())),
+      departure_replicas_({.own_host = options_.host}), departures_({})
 {
 }
 
@@ -229,12 +230,14 @@
     auto const before = mirror_.revision();
     auto const changes = mirror_.apply(update);
     bool hosts_changed = false;
+    bool own_changed = false;
     for (auto const& item : changes)
     {
         if (item.key == own_key && item.revision >= published_revision_)
         {
             published_entry_ = item.value;
             published_revision_ = item.value ? item.revision : store_revision();
+            own_changed = true;
         }
         if (item.key == layout_.configuration_key && item.value)
             apply_configuration(*item.value, source);
@@ -246,6 +249,8 @@
     }
     if (!own_entry_known_ && mirror_.revision() > store_revision())
         read_acknowledged_upstream();
+    else if (own_changed)
+        on_own_entry_changed();
     if (hosts_changed)
         publish_hosts();
     if (mirror_.revision() > before)
@@ -306,27 +311,25 @@
 
 void control_node::read_acknowledged_upstream()
 {
+    bool const was_trusted = upstream_is_trusted();
     own_entry_known_ = true;
     auto const own = hosts_.find(options_.host);
-    if (own != hosts_.end() && own->second.service == options_.service)
-    {
-        auto const& entry = own->second;
-        registration_.set_acknowledged({.incarnation = entry.incarnation,
-                                        .started = entry.started,
-                                        .sequence = entry.sequence,
-                                        .draining = entry.draining,
-                                        .left = entry.left});
-        log_event("earlier_entry_read")
-            .add("incarnation", entry.incarnation.value())
-            .add("draining", entry.draining)
-            .add("left", entry.left)
-            .add("sequence", entry.sequence)
-            .add("registered", registration_.current().has_value());
-    }
-    if (registration_.current())
+    if (own != hosts_.end())
+        apply_earlier_entry(own->second, "store");
+    if (registration_.current() && !was_trusted)
         upstream_changed("store_read");
 }
 
+void control_node::on_own_entry_changed()
+{
+    // A peer may have written what an earlier process of this node
+    // acknowledged.
+    auto const own = hosts_.find(options_.host);
+    if (own != hosts_.end() && own->second.boot != boot_)
+        apply_earlier_entry(own->second, "store");
+    check_departure();
+}
+
 void control_node::publish_hosts()
 {
     std::vector<mesh::host_entry> all;
@@ -410,6 +413,7 @@
                          log_event("host_entry_written")
                              .add("revision", written->value())
                              .add("ready", own_entry().ready);
+                         check_departure();
                          return publish_entry();
                      }
                      log_event("host_entry_not_written", log_level::warning)
@@ -448,6 +452,7 @@
                                                   item.revision;
                                               apply_host(item);
                                           }
+                                      on_own_entry_changed();
                                       publish_entry();
                                   });
                   });
@@ -464,11 +469,16 @@
         .add("draining", upstream.last.draining)
         .add("left", upstream.left)
         .add("cold_ms", upstream.last.cold_remaining.count());
-    if (!upstream_is_trusted())
-        return;
-    traffic_.set_upstream(upstream);
-    publish_hosts();
-    publish_entry();
+    ++departure_number_;
+    departure_replicas_.reset();
+    if (upstream_is_trusted())
+    {
+        traffic_.set_upstream(upstream);
+        publish_hosts();
+    }
+    // A departure is published even if nothing else is trusted.
+    if (upstream_is_trusted() || !upstream.accepts_work())
+        publish_entry();
 }
 
 mesh::heartbeat_result
--- a/src/pollenhall_sidecar/control_node.hpp
+++ b/src/pollenhall_sidecar/control_node.hpp
@@ -12,6 +12,7 @@
 #include "shared_store.hpp"
 
 #include <pollenhall/mesh/configuration.hpp>
+#include <pollenhall/mesh/departures.hpp>
 #include <pollenhall/mesh/registration.hpp>
 #include <pollenhall/mesh/store_relays.hpp>
 #include <pollenhall/mesh/suspicion_ledger.hpp>
@@ -56,6 +57,11 @@
     on_heartbeat(mesh::upstream_heartbeat const& heartbeat);
     /// The upstream has deregistered and accepts no further calls.
     void on_leave(mesh::incarnation_id const& incarnation);
+    /// Calls `on_end` with true as soon as the departure that the upstream has
+    /// announced outlasts this process: the store or peers have it. Calls it
+    /// with false if that takes too long for a response to the upstream. At
+    /// once if the upstream has announced none.
+    void confirm_departure(std::function<void(bool)> on_end);
     /// Sends requests that are suspected of crashing upstreams to other nodes,
     /// and publishes them in the host entry.
     void on_suspicions(std::vector<crash_suspicion> const& suspicions);
@@ -104,6 +110,25 @@
     void apply_host(store_item const& item);
     // Reads what an earlier process of this node acknowledged to the upstream.
     void read_acknowledged_upstream();
+    // Another process has written the entry of this host.
+    void on_own_entry_changed();
+    // Applies an entry of an earlier process of this node.
+    void apply_earlier_entry(mesh::host_entry const& entry,
+                             std::string_view source);
+    // Whether the departure of the upstream is in the store or held by peers.
+    [[nodiscard]] bool departure_is_recorded() const;
+    void check_departure();
+    void on_confirm_timeout(std::uint64_t id);
+    void ask_departure_replicas();
+    // Sends the entry of a host that has announced a departure to a peer.
+    void send_entry(mesh::host_address const& host, mesh::host_entry entry,
+                    std::function<void(exchange_result const&)> on_end);
+    void receive_departure(std::shared_ptr<server_exchange> const& from,
+                           std::string const& body);
+    void write_kept_entry(mesh::host_entry const& entry);
+    void schedule_kept_entries();
+    // Sends kept entries to their hosts, until the store has them.
+    void send_kept_entries();
     // Whether the registered upstream may get calls. An earlier process of this
     // node may have acknowledged that it leaves; as long as that is not known,
     // a single heartbeat may be a late one.
@@ -167,6 +192,21 @@
     // Heartbeats accepted while it is not.
     int early_heartbeats_ = 0;
 
+    struct pending_confirmation
+    {
+        std::function<void(bool)> on_end;
+        deadline_timers::handle timeout{};
+    };
+
+    // Counts changes of the registered upstream, so that a response to an
+    // earlier departure is not taken for one to the current.
+    std::uint64_t departure_number_ = 0;
+    mesh::departure_replicas departure_replicas_;
+    std::map<std::uint64_t, pending_confirmation> confirmations_;
+    std::uint64_t last_confirmation_id_ = 0;
+    // Entries that this node keeps for its peers.
+    mesh::departure_keeper departures_;
+
     mesh::suspicion_ledger suspicions_;
     bool adoption_scheduled_ = false;
 
--- a/src/pollenhall_sidecar/control_peers.cpp
+++ b/src/pollenhall_sidecar/control_peers.cpp
@@ -195,6 +195,8 @@
     {
         if (request.method == "POST" && request.target == suspicions_path)
             return receive_suspicions(from, request.body);
+        if (request.method == "POST" && request.target == departures_path)
+            return receive_departure(from, request.body);
         serve_changes(from, request);
     };
     return handlers;
--- a/src/pollenhall_sidecar/host_entry_json.hpp
+++ b/src/pollenhall_sidecar/host_entry_json.hpp
@@ -20,6 +20,8 @@
 /// valid address and port.
 absl::StatusOr<mesh::host_entry> parse_host_entry(std::string const& text);
 
+/// Request path to which peers send entries of upstreams that depart.
+inline constexpr std::string_view departures_path = "/mesh/departures";
 /// Request path to which peers send crash suspicions.
 inline constexpr std::string_view suspicions_path = "/mesh/suspicions";
 /// Writes suspicions that are sent to a peer as JSON.
