Relays poll each other, so that cut relays pass on configurations

Cause: a relay says that it is current until its watch times out, up to 6.7 s after a silent cut, and its followers ask nobody else. Change: relays poll each other in turn, across zones; a fleet of a single zone has three relays.

--- a/src/include/pollenhall/mesh/store_relays.hpp
+++ b/src/include/pollenhall/mesh/store_relays.hpp
@@ -4,7 +4,10 @@
 // entry. If all hosts watched the store, the number of calls would grow with
 // the square of the fleet size. Instead, the first few hosts of each
 // availability zone, in an order that is the same at all hosts, watch the store
-// as relays, and the others poll the relays in turn.
+// as relays, and the others poll the relays in turn. Relays also poll each
+// other, across zones: one that is cut off from the store without a sign would
+// otherwise pass on nothing until its watch times out, and all relays of a zone
+// may be cut off at the same time.
 
 #pragma once
 
@@ -28,6 +31,9 @@
     /// Minimum number of relays in a zone. One relay is not enough, because it
     /// may be cut off from the store without noticing.
     std::size_t min_relays = 2;
+    /// The same if all hosts are in one zone: two hosts may be cut off at the
+    /// same time.
+    std::size_t min_relays_of_single_zone = 3;
     /// Time for which a relay is not polled after it could not be reached or
     /// did not receive changes itself. Doubles with each failure up to
     /// `max_pause`.
@@ -47,6 +53,10 @@
     /// use the store itself. Rotates over the relays, so that an unresponsive
     /// one delays changes by one request only.
     [[nodiscard]] std::optional<host_address> choose(mono_time now);
+    /// Returns the relay that this node, as a relay itself, polls next. Rotates
+    /// over all relays but itself; empty if this node is not a relay or there
+    /// is no other.
+    [[nodiscard]] std::optional<host_address> choose_other_relay(mono_time now);
     /// Whether the node is a relay when all relays are reachable.
     [[nodiscard]] bool is_default_relay() const;
     /// The hosts of the zone that are assigned to this node for probing; none
@@ -67,7 +77,13 @@
         milliseconds pause{0};
     };
 
-    [[nodiscard]] std::size_t relay_count() const;
+    // Number of relays of a zone with `candidates` hosts.
+    [[nodiscard]] std::size_t relay_count(std::size_t candidates) const;
+    // The same for the zone of this node.
+    [[nodiscard]] std::size_t own_relay_count() const
+    {
+        return relay_count(candidates_.size());
+    }
     // Index of this node in candidates_.
     [[nodiscard]] std::size_t own_position() const;
     [[nodiscard]] candidate* find(host_address const& host);
@@ -75,10 +91,13 @@
     store_relay_options options_;
     // This host and the hosts of its zone that accept work, sorted by `order`.
     std::vector<candidate> candidates_;
+    // The relays of other zones.
+    std::vector<candidate> remote_relays_;
     // All other hosts of the zone.
     std::vector<host_address> zone_peers_;
-    // Counts polls, to rotate over the relays.
+    // Count polls, to rotate over the relays.
     std::size_t next_relay_ = 0;
+    std::size_t next_other_relay_;
 };
 
 } // namespace pollenhall::mesh
--- a/src/libpollenhall_mesh/store_relays_test.cpp
+++ b/src/libpollenhall_mesh/store_relays_test.cpp
@@ -84,6 +84,51 @@
     }
 }
 
+TEST_CASE("all hosts in a single zone")
+{
+    auto hosts = make_zone(20);
+    hosts.pop_back();
+    // Two may be cut off from the store at the same time.
+    CHECK(count_watchers(hosts, 20) == 3);
+}
+
+TEST_CASE("relays poll each other")
+{
+    auto hosts = make_zone(20);
+    hosts.push_back({.host = host_address("10.0.1.2"),
+                     .zone = zone_name("elsewhere"),
+                     .ready = true});
+    std::set<host_address> relays_of_zone;
+    for (int i = 0; i < 20; ++i)
+        if (make_relays(hosts, i).is_default_relay())
+            relays_of_zone.insert(hosts[i].host);
+    REQUIRE(relays_of_zone.size() == 2);
+
+    for (int i = 0; i < 20; ++i)
+    {
+        auto relays = make_relays(hosts, i);
+        if (!relays.is_default_relay())
+        {
+            CHECK_FALSE(relays.choose_other_relay(start).has_value());
+            continue;
+        }
+        auto expected = relays_of_zone;
+        expected.erase(hosts[i].host);
+        expected.insert(host_address("10.0.1.1"));
+        expected.insert(host_address("10.0.1.2"));
+        std::set<host_address> polled;
+        for (int turn = 0; turn < 3; ++turn)
+            polled.insert(*relays.choose_other_relay(start));
+        CHECK(polled == expected);
+
+        relays.on_failure(host_address("10.0.1.1"), start);
+        relays.set_hosts(hosts);
+        for (int turn = 0; turn < 4; ++turn)
+            CHECK(relays.choose_other_relay(start) != host_address("10.0.1.1"));
+        CHECK_FALSE(make_relays({hosts[i]}, 0).choose_other_relay(start));
+    }
+}
+
 TEST_CASE("each host of a zone is assigned to one relay")
 {
     auto const hosts = make_zone(20);
--- a/src/pollenhall_sidecar/control_node.cpp
+++ b/src/pollenhall_sidecar/control_node.cpp
@@ -62,6 +62,7 @@
 {
     read_store();
     schedule_peer_poll();
+    poll_other_relay_later();
     timers_.after(options_.vanished.probe_interval,
                   [this] { probe_next_host(); });
 }
--- a/src/pollenhall_sidecar/control_node.hpp
+++ b/src/pollenhall_sidecar/control_node.hpp
@@ -100,6 +100,9 @@
     void watch_peer(mesh::host_address const& peer);
     void on_peer_response(mesh::host_address const& peer,
                           exchange_result const& result);
+    // If this node is a relay, polls the other relays in turn.
+    void poll_other_relay();
+    void poll_other_relay_later();
     void on_store_error(std::string_view call, absl::Status const& status);
     void on_store_response();
     // Records whether this node receives store changes, from a peer or from
--- a/src/pollenhall_sidecar/control_peers.cpp
+++ b/src/pollenhall_sidecar/control_peers.cpp
@@ -24,6 +24,10 @@
 constexpr milliseconds peer_timeout{300};
 // Delay before the next peer is watched after one has failed.
 constexpr milliseconds peer_failure_delay{50};
+// Delay between two polls of other relays, so that the entries of many starting
+// hosts arrive in a few batches. With the wait of a poll and one relay that is
+// cut off as well, a configuration is still in force within 2 s.
+constexpr milliseconds other_relay_delay{300};
 // Number of peers that a node sends new suspicions to. Up to this number of
 // hosts, all of them get each suspicion from the node that reports it; in a
 // larger mesh each receiver sends it on.
@@ -54,6 +58,29 @@
     wait_for_changes();
 }
 
+void control_node::poll_other_relay_later()
+{
+    timers_.after(other_relay_delay, [this] { poll_other_relay(); });
+}
+
+void control_node::poll_other_relay()
+{
+    if (stopping_)
+        return;
+    auto const relay = relays_.choose_other_relay(mono_now());
+    if (!relay)
+        return poll_other_relay_later();
+    request_changes(*relay, options_.watch.max_peer_wait,
+                    [this, relay = *relay](exchange_result const& result)
+                    {
+                        if (apply_peer_response(relay, result))
+                            relays_.on_response(relay);
+                        else
+                            relays_.on_failure(relay, mono_now());
+                        poll_other_relay_later();
+                    });
+}
+
 void control_node::on_newer_version(mesh::config_version version,
                                     mesh::host_address const& host)
 {
