Calls late in a planned stop are answered before the process ends

Cause: such calls were accepted until the process ended, whatever time they needed; and the process ended at the moment until which accepted requests are answered. `traffic_node::stop` takes shutdown_options, as the tests now pass them. The policy's test of these calls also checks that none is accepted whose response could not be sent.

--- a/src/include/pollenhall/mesh/shutdown_policy.hpp
+++ b/src/include/pollenhall/mesh/shutdown_policy.hpp
@@ -13,8 +13,14 @@
 /// Settings of `shutdown_policy`.
 struct shutdown_options
 {
-    /// Time from the start of the stop to the end of the process.
+    /// Time from the start of the stop in which accepted requests are answered.
     milliseconds grace{0};
+    /// Time after `grace` in which the process still serves what is open: last
+    /// responses, and the calls of requests that run at the upstream of this
+    /// host.
+    milliseconds final_period{0};
+    /// Time that the response to a call needs after its deadline.
+    milliseconds response_time{200};
     /// Fraction of `grace` after which requests of callers are rejected.
     double caller_requests_fraction = 0.55;
     /// The platform stops sending callers after two failed readiness checks,
@@ -53,8 +59,19 @@
     /// the last request at `last_accepted`.
     [[nodiscard]] bool may_end_idle(mono_time last_accepted,
                                     mono_time now) const;
-    /// Time at which the process ends.
+    /// Time until which requests are answered.
     [[nodiscard]] mono_time end() const { return began_ + options_.grace; }
+    /// Time at which the process ends, whatever is open.
+    [[nodiscard]] mono_time process_end() const
+    {
+        return end() + options_.final_period;
+    }
+    /// Latest deadline of a call by a request that runs at the upstream of this
+    /// host: its response must arrive before the process ends.
+    [[nodiscard]] mono_time inner_call_deadline() const
+    {
+        return process_end() - options_.response_time;
+    }
     [[nodiscard]] mono_time began() const { return began_; }
 
 private:
--- a/src/libpollenhall_mesh/shutdown_policy_test.cpp
+++ b/src/libpollenhall_mesh/shutdown_policy_test.cpp
@@ -43,9 +43,17 @@
     }
     SUBCASE("accepts the calls of requests that run beside it to the end")
     {
-        CHECK(policy.accepts(
-            {.deadline = began + seconds{9}, .is_inner_call = true},
-            began + milliseconds{4'900}));
+        shutdown_policy const longer(
+            {.grace = seconds{5}, .final_period = milliseconds{600}}, began);
+        stopping_request const call{.deadline = began + seconds{9},
+                                    .is_inner_call = true};
+        CHECK(longer.accepts(call, began + milliseconds{4'900}));
+        CHECK(longer.accepts(call, began + milliseconds{5'300}));
+        // The response could not be sent any more.
+        CHECK_FALSE(longer.accepts(call, began + milliseconds{5'400}));
+        CHECK(longer.inner_call_deadline() + milliseconds{200} ==
+              longer.process_end());
+        CHECK(longer.end() == began + seconds{5});
     }
     SUBCASE("accepts calls of peers as long as it waits for callers")
     {
--- a/src/pollenhall_sidecar/pipelining_test.cpp
+++ b/src/pollenhall_sidecar/pipelining_test.cpp
@@ -212,7 +212,7 @@
         caller.send(get("/read/a") + get("/read/b") + post("/order/c"));
         nodes.run_until([&] { return nodes.request_count() == 2; });
         bool stopped = false;
-        nodes.first.stop(seconds{4}, [&] { stopped = true; });
+        nodes.first.stop({.grace = seconds{4}}, [&] { stopped = true; });
         nodes.first_upstream.respond_to_pending_requests();
         nodes.run_until([&] { return caller.closed; }, milliseconds{500});
         CHECK(caller.closed);
--- a/src/pollenhall_sidecar/sidecar_test.cpp
+++ b/src/pollenhall_sidecar/sidecar_test.cpp
@@ -372,7 +372,7 @@
     nodes.run_until([&] { return nodes.request_count() == 1; });
     bool stopped = false;
     auto const began = mono_now();
-    nodes.first.stop(seconds(4), [&] { stopped = true; });
+    nodes.first.stop({.grace = seconds{4}}, [&] { stopped = true; });
 
     SUBCASE("serves accepted requests, and new ones for a while")
     {
@@ -455,7 +455,7 @@
     nodes.start(slow_request(),
                 [&](exchange_result result) { open = std::move(result); });
     nodes.run_until([&] { return nodes.request_count() == 1; });
-    nodes.first.stop(seconds{6}, [] {});
+    nodes.first.stop({.grace = seconds{6}}, [] {});
     nodes.run_for(milliseconds{2'500});
     // More than half of the grace period is left.
     auto const late = nodes.call(slow_request());
@@ -473,7 +473,7 @@
 {
     two_nodes nodes;
     nodes.set_only_host(1);
-    nodes.second.stop(seconds{5}, [] {});
+    nodes.second.stop({.grace = seconds{5}}, [] {});
     nodes.run_for(milliseconds{1'800});
     CHECK(nodes.call("POST", "/order/a").response.status == 200);
     nodes.run_for(milliseconds{600});
@@ -497,7 +497,7 @@
     nodes.start(request,
                 [&](exchange_result result) { open = std::move(result); });
     nodes.run_until([&] { return nodes.request_count() == 1; });
-    nodes.first.stop(seconds{4}, [] {});
+    nodes.first.stop({.grace = seconds{4}}, [] {});
     nodes.run_for(milliseconds{2'400});
     CHECK(nodes.call("GET", "/read/a").response.status == 503);
     auto call = nodes.make_request("GET", "/read/b");
@@ -509,6 +509,79 @@
     CHECK(open->response.status == 200);
 }
 
+// Guards against calls that are passed on late in a planned stop and cut off
+// when the process ends, with the request that needs them.
+TEST_CASE("a call late in a planned stop is answered before the process ends")
+{
+    two_nodes nodes;
+    nodes.set_only_host(0);
+    auto slow = make_route("/slow/", false);
+    slow.timeout = seconds{8};
+    auto read = make_route("/read/", true);
+    read.timeout = seconds{8};
+    nodes.first.set_routes(std::make_shared<mesh::route_table const>(
+        mesh::configuration{.routes = {slow, read}}));
+    nodes.first_upstream.script = {step::hang, step::hang};
+    auto request = nodes.make_request("POST", "/slow/a");
+    request.fields.set(names.time_left_ms, "9000");
+    std::optional<exchange_result> parent;
+    nodes.start(request,
+                [&](exchange_result result) { parent = std::move(result); });
+    nodes.run_until([&] { return nodes.request_count() == 1; });
+    std::optional<mono_time> stopped;
+    auto const began = mono_now();
+    nodes.first.stop({.grace = seconds{2}, .final_period = milliseconds{700}},
+                     [&] { stopped = mono_now(); });
+    nodes.run_for(milliseconds{1'800});
+
+    auto call = nodes.make_request("GET", "/read/a");
+    call.fields.set(names.request_id, "1.1");
+    call.fields.set(names.time_left_ms, "5000");
+    std::optional<exchange_result> answer;
+    std::optional<mono_time> answered;
+    nodes.start(call,
+                [&](exchange_result result)
+                {
+                    answer = std::move(result);
+                    answered = mono_now();
+                });
+    nodes.run_until([&] { return nodes.request_count() == 2; });
+    REQUIRE(nodes.request_count() == 2);
+    // The upstream learns how much time is left, and stops by itself.
+    auto const* time_left =
+        nodes.first_upstream.received[1].fields.find(names.time_left_ms);
+    REQUIRE(time_left != nullptr);
+    CHECK(std::stoi(*time_left) <= 700);
+
+    SUBCASE("by its upstream, also after the time for new requests")
+    {
+        nodes.run_for(milliseconds{400});
+        CHECK_FALSE(stopped.has_value());
+        nodes.first_upstream.respond_to_pending_requests();
+        nodes.run_until([&] { return answer && parent; });
+        REQUIRE(answer.has_value());
+        CHECK(answer->response.status == 200);
+        REQUIRE(parent.has_value());
+        CHECK(parent->response.status == 200);
+        nodes.run_until([&] { return stopped.has_value(); });
+        REQUIRE(stopped.has_value());
+        CHECK(*stopped - began < milliseconds{2'650});
+    }
+    SUBCASE("by the node, if the upstream says nothing")
+    {
+        nodes.run_until([&] { return stopped.has_value(); });
+        REQUIRE(stopped.has_value());
+        REQUIRE(answer.has_value());
+        CHECK(answer->end == exchange_end::answered);
+        CHECK(answer->response.status == 504);
+        CHECK(*answered < *stopped);
+        // The fixture cannot be destroyed while calls are open.
+        nodes.first_upstream.abort_pending_requests();
+        nodes.run_until([&] { return parent.has_value(); });
+        CHECK(parent.has_value());
+    }
+}
+
 TEST_CASE("traffic_node quarantines a request that crashes upstreams")
 {
     two_nodes nodes;
--- a/src/pollenhall_sidecar/traffic_node.cpp
+++ b/src/pollenhall_sidecar/traffic_node.cpp
@@ -373,6 +373,11 @@
     if (!accepts(call, *route, parent != nullptr))
         return reject(from, 503, "node_stopping", *id,
                       time_left(shutdown_->end(), now) + restart_time);
+    // A call that outlasted this process would be cut off while an upstream
+    // runs it. Its upstream stops at the earlier deadline and says so.
+    if (shutdown_ && parent != nullptr)
+        call.deadline =
+            std::min(call.deadline, shutdown_->inner_call_deadline());
     last_accepted_ = now;
     request.fields.remove_hop_by_hop();
     for (auto const* name :
@@ -491,11 +496,12 @@
                mono_now());
 }
 
-void traffic_node::stop(milliseconds grace, std::function<void()> on_stopped)
+void traffic_node::stop(mesh::shutdown_options const& options,
+                        std::function<void()> on_stopped)
 {
     if (shutdown_)
         return;
-    shutdown_.emplace(mesh::shutdown_options{.grace = grace}, mono_now());
+    shutdown_.emplace(options, mono_now());
     on_stopped_ = std::move(on_stopped);
     check_stopped();
 }
@@ -508,7 +514,7 @@
     bool const is_idle = open_calls_ == 0 && open_gate_calls_ == 0 &&
                          gate_.active_calls() == 0 &&
                          caller_listener_.is_idle() && peer_listener_.is_idle();
-    if (now < shutdown_->end() &&
+    if (now < shutdown_->process_end() &&
         !(is_idle && shutdown_->may_end_idle(last_accepted_, now)))
     {
         timers_.after(stop_check_interval, [this] { check_stopped(); });
--- a/src/pollenhall_sidecar/traffic_node.hpp
+++ b/src/pollenhall_sidecar/traffic_node.hpp
@@ -55,10 +55,11 @@
         on_suspicions_ = std::move(action);
     }
 
-    /// Starts a graceful shutdown. Requests that can be answered within `grace`
-    /// are accepted for a part of it; `on_stopped` is called once all calls
-    /// have ended and no more arrive, or after `grace`.
-    void stop(milliseconds grace, std::function<void()> on_stopped);
+    /// Starts a graceful shutdown. Requests that can be answered within its
+    /// grace are accepted for a part of it; `on_stopped` is called once all
+    /// calls have ended and no more arrive, or at the end of the process.
+    void stop(mesh::shutdown_options const& options,
+              std::function<void()> on_stopped);
 
 private:
     friend class origin_call;
