One function sends documents to peers; lint

The departures repeated the request and the timeout that suspicions use. Unit tests of the mesh, the sidecar and the platform pass.

--- a/src/pollenhall_sidecar/control_departures.cpp
+++ b/src/pollenhall_sidecar/control_departures.cpp
@@ -16,8 +16,6 @@
 constexpr milliseconds store_write_time{150};
 // The platform takes a response after a second for a lost one.
 constexpr milliseconds departure_timeout{850};
-// Response timeout of a peer.
-constexpr milliseconds peer_timeout{300};
 // How often kept entries are sent to their hosts. A restarted process must know
 // within 2 s of the acknowledgement, half a second of which is its restart.
 constexpr milliseconds kept_entry_interval{500};
@@ -115,13 +113,8 @@
 {
     // Suspicions have their own way to peers.
     entry.suspicions.clear();
-    mesh::http_request request{.method = "POST",
-                               .target = std::string(departures_path),
-                               .body = write_host_entry(entry)};
-    request.fields.add("Host", host.value());
-    peer_pool(host).start({.bytes = mesh::write_request(request),
-                           .deadline = mono_now() + peer_timeout,
-                           .on_end = std::move(on_end)});
+    post_to_peer(host, departures_path, write_host_entry(entry),
+                 std::move(on_end));
 }
 
 void control_node::receive_departure(
--- a/src/pollenhall_sidecar/control_node.hpp
+++ b/src/pollenhall_sidecar/control_node.hpp
@@ -153,6 +153,9 @@
     void
     request_changes(mesh::host_address const& host, milliseconds wait,
                     std::function<void(exchange_result const&)> const& on_end);
+    void post_to_peer(mesh::host_address const& host, std::string_view path,
+                      std::string body,
+                      std::function<void(exchange_result const&)> on_end);
     // The pool of connections to the control port of a peer.
     client_pool& peer_pool(mesh::host_address const& host);
     void receive_suspicions(std::shared_ptr<server_exchange> const& from,
--- a/src/pollenhall_sidecar/control_peers.cpp
+++ b/src/pollenhall_sidecar/control_peers.cpp
@@ -269,25 +269,29 @@
     std::shuffle(others.begin(), others.end(), random_);
     others.resize(std::min(others.size(), suspicion_fanout));
     for (auto const& host : others)
-    {
-        mesh::http_request request{.method = "POST",
-                                   .target = std::string(suspicions_path),
-                                   .body = write_suspicions(suspicions)};
-        request.fields.add("Host", host.value());
-        peer_pool(host).start({.bytes = mesh::write_request(request),
-                               .deadline = mono_now() + peer_timeout,
-                               .on_end = [host](exchange_result const& result)
-                               {
-                                   // The host entries are a second way to the
-                                   // peer.
-                                   if (result.end != exchange_end::answered)
-                                       log_event("suspicions_not_sent",
-                                                 log_level::warning)
-                                           .add("peer", host.value())
-                                           .add("end", to_string(result.end))
-                                           .add("detail", result.detail);
-                               }});
-    }
+        post_to_peer(host, suspicions_path, write_suspicions(suspicions),
+                     [host](exchange_result const& result)
+                     {
+                         // The host entries are a second way to the peer.
+                         if (result.end != exchange_end::answered)
+                             log_event("suspicions_not_sent",
+                                       log_level::warning)
+                                 .add("peer", host.value())
+                                 .add("end", to_string(result.end))
+                                 .add("detail", result.detail);
+                     });
+}
+
+void control_node::post_to_peer(
+    mesh::host_address const& host, std::string_view path, std::string body,
+    std::function<void(exchange_result const&)> on_end)
+{
+    mesh::http_request request{
+        .method = "POST", .target = std::string(path), .body = std::move(body)};
+    request.fields.add("Host", host.value());
+    peer_pool(host).start({.bytes = mesh::write_request(request),
+                           .deadline = mono_now() + peer_timeout,
+                           .on_end = std::move(on_end)});
 }
 
 void control_node::read_suspicions(mesh::host_entry const& entry)
