All requests accepted in a planned stop are answered before its end

Seen: a request of a caller, or a call of a peer, that is accepted in the first 2.3 s of a stop because its route usually takes little time, and then takes long, ends with a closed connection. Cause: only calls of running requests had a deadline before the end of the process. Change: limit_deadline applies to all that is accepted during the stop. Evidence: without it the new test fails for both ("7999 <= 1800", status 0 instead of 504); the 24 cases of sidecar_test pass with it.

--- a/src/include/pollenhall/mesh/shutdown_policy.hpp
+++ b/src/include/pollenhall/mesh/shutdown_policy.hpp
@@ -15,11 +15,9 @@
 {
     /// Time from the start of the stop in which accepted requests are answered.
     milliseconds grace{0};
-    /// Time after `grace` in which the process still serves what is open: last
-    /// responses, and the calls of requests that run at the upstream of this
-    /// host.
+    /// Time after `grace` in which requests that are still open may complete.
     milliseconds final_period{0};
-    /// Time that the response to a call needs after its deadline.
+    /// Time from the deadline of a request until its response is sent.
     milliseconds response_time{200};
     /// Fraction of `grace` after which requests of callers are rejected.
     double caller_requests_fraction = 0.55;
@@ -59,16 +57,16 @@
     /// the last request at `last_accepted`.
     [[nodiscard]] bool may_end_idle(mono_time last_accepted,
                                     mono_time now) const;
-    /// Time until which requests are answered.
+    /// Time by which accepted requests are expected to be answered.
     [[nodiscard]] mono_time end() const { return began_ + options_.grace; }
-    /// Time at which the process ends, whatever is open.
+    /// Time at which the process ends, even if requests are open.
     [[nodiscard]] mono_time process_end() const
     {
         return end() + options_.final_period;
     }
-    /// Latest deadline of a call by a request that runs at the upstream of this
-    /// host: its response must arrive before the process ends.
-    [[nodiscard]] mono_time inner_call_deadline() const
+    /// Latest deadline of a request that is accepted during the stop, so that
+    /// its response is sent before the process ends.
+    [[nodiscard]] mono_time max_deadline() const
     {
         return process_end() - options_.response_time;
     }
--- a/src/libpollenhall_mesh/shutdown_policy.cpp
+++ b/src/libpollenhall_mesh/shutdown_policy.cpp
@@ -28,7 +28,7 @@
                               mono_time now) const
 {
     if (request.is_inner_call)
-        return now < inner_call_deadline();
+        return now < max_deadline();
     return !passed(options_.caller_requests_fraction, now) &&
            fits(request, now);
 }
--- a/src/libpollenhall_mesh/shutdown_policy_test.cpp
+++ b/src/libpollenhall_mesh/shutdown_policy_test.cpp
@@ -51,7 +51,7 @@
         CHECK(longer.accepts(call, began + milliseconds{5'300}));
         // The response could not be sent any more.
         CHECK_FALSE(longer.accepts(call, began + milliseconds{5'400}));
-        CHECK(longer.inner_call_deadline() + milliseconds{200} ==
+        CHECK(longer.max_deadline() + milliseconds{200} ==
               longer.process_end());
         CHECK(longer.end() == began + seconds{5});
     }
--- a/src/pollenhall_sidecar/sidecar_test.cpp
+++ b/src/pollenhall_sidecar/sidecar_test.cpp
@@ -582,6 +582,66 @@
     }
 }
 
+// Guards against requests that are accepted in a planned stop because they
+// usually take little time, and cut off when they take long.
+TEST_CASE("a request in a planned stop is answered before the process ends")
+{
+    two_nodes nodes;
+    auto slow = make_route("/slow/", false);
+    slow.timeout = seconds{8};
+    auto const routes = std::make_shared<mesh::route_table const>(
+        mesh::configuration{.routes = {slow}});
+    nodes.first.set_routes(routes);
+    nodes.second.set_routes(routes);
+    std::optional<mono_time> stopped;
+    auto const stop = [&](traffic_node& node)
+    {
+        node.stop(
+            {.grace = milliseconds{1'500}, .final_period = milliseconds{500}},
+            [&] { stopped = mono_now(); });
+    };
+    auto* upstream = &nodes.first_upstream;
+    SUBCASE("of a caller of the stopping node")
+    {
+        nodes.set_only_host(0);
+        stop(nodes.first);
+    }
+    SUBCASE("of a peer")
+    {
+        nodes.set_only_host(1);
+        upstream = &nodes.second_upstream;
+        stop(nodes.second);
+    }
+    upstream->script = {step::hang};
+    auto request = nodes.make_request("POST", "/slow/a");
+    request.fields.set(names.time_left_ms, "9000");
+    std::optional<exchange_result> answer;
+    std::optional<mono_time> answered;
+    nodes.start(request,
+                [&](exchange_result result)
+                {
+                    answer = std::move(result);
+                    answered = mono_now();
+                });
+    nodes.run_until([&] { return nodes.request_count() == 1; });
+    REQUIRE(nodes.request_count() == 1);
+    auto const* time_left =
+        upstream->received[0].fields.find(names.time_left_ms);
+    REQUIRE(time_left != nullptr);
+    CHECK(std::stoi(*time_left) <= 1'800);
+    nodes.run_until([&] { return answer && stopped; });
+    CHECK(stopped.has_value());
+    CHECK(answer.has_value());
+    if (answer && stopped)
+    {
+        CHECK(answer->response.status == 504);
+        CHECK(*answered < *stopped);
+    }
+    // The fixture cannot be destroyed while calls are open.
+    upstream->abort_pending_requests();
+    nodes.run_for(milliseconds{200});
+}
+
 TEST_CASE("traffic_node quarantines a request that crashes upstreams")
 {
     two_nodes nodes;
--- a/src/pollenhall_sidecar/traffic_node.cpp
+++ b/src/pollenhall_sidecar/traffic_node.cpp
@@ -373,11 +373,7 @@
     if (!accepts(call, *route, parent != nullptr))
         return reject(from, 503, "node_stopping", *id,
                       time_left(shutdown_->end(), now) + restart_time);
-    // A call that outlasted this process would be cut off while an upstream
-    // runs it. Its upstream stops at the earlier deadline and says so.
-    if (shutdown_ && parent != nullptr)
-        call.deadline =
-            std::min(call.deadline, shutdown_->inner_call_deadline());
+    limit_deadline(call);
     last_accepted_ = now;
     request.fields.remove_hop_by_hop();
     for (auto const* name :
@@ -427,6 +423,7 @@
                                {.end = mesh::attempt_end::not_offered,
                                 .reason = "no_memory",
                                 .retry_after = memory_retry_after});
+    limit_deadline(call);
     last_accepted_ = now;
     ++open_gate_calls_;
     // Set when the gate completes the call, possibly before submit returns, or
@@ -496,6 +493,14 @@
                mono_now());
 }
 
+void traffic_node::limit_deadline(mesh_call& call) const
+{
+    // The upstream stops at the earlier deadline and responds. Otherwise the
+    // end of this process would cut the call off.
+    if (shutdown_)
+        call.deadline = std::min(call.deadline, shutdown_->max_deadline());
+}
+
 void traffic_node::stop(mesh::shutdown_options const& options,
                         std::function<void()> on_stopped)
 {
--- a/src/pollenhall_sidecar/traffic_node.hpp
+++ b/src/pollenhall_sidecar/traffic_node.hpp
@@ -55,9 +55,9 @@
         on_suspicions_ = std::move(action);
     }
 
-    /// Starts a graceful shutdown. Requests that can be answered within its
-    /// grace are accepted for a part of it; `on_stopped` is called once all
-    /// calls have ended and no more arrive, or at the end of the process.
+    /// Starts a graceful shutdown. For a part of the grace time, requests that
+    /// can be answered within it are accepted. `on_stopped` is called once all
+    /// calls have ended and no more arrive, or when the process must end.
     void stop(mesh::shutdown_options const& options,
               std::function<void()> on_stopped);
 
@@ -108,6 +108,8 @@
     // Whether a request may be accepted; false only while stopping.
     [[nodiscard]] bool accepts(mesh_call const& call, mesh::route const& route,
                                bool is_inner_call) const;
+    // While stopping, sets a deadline by which the process can still respond.
+    void limit_deadline(mesh_call& call) const;
 
     node_metrics& metrics_;
     asio::io_context& context_;
