Test programs that run at the same time use ports far apart

Seen once, with three test programs in parallel: "nodes of a zone" could not open the port for peers of one of its hosts. Cause: programs with consecutive process ids took their ports from ranges that begin 211 apart, and a zone uses more of them now; the port for peers was checked on one host only. Change: the ranges begin 7,919 apart. That the cause is the overlap is read from the code, not shown by a run.

--- a/src/pollenhall_sidecar/free_address.hpp
+++ b/src/pollenhall_sidecar/free_address.hpp
@@ -21,8 +21,8 @@
 {
     constexpr unsigned first_port = 10'000;
     constexpr unsigned port_count = 22'000;
-    // Processes of concurrent test programs start at different ports.
-    static std::atomic<unsigned> next{static_cast<unsigned>(getpid()) * 211};
+    // Processes with consecutive ids start at ports that are far apart.
+    static std::atomic<unsigned> next{static_cast<unsigned>(getpid()) * 7'919};
     static asio::io_context context;
     for (;;)
     {
