Departures: confirmations end with the registration, stopping peers hand on

Seen: if the store shows that the upstream whose departure is being confirmed is an earlier start, the confirmation reads a registration that is gone. And holders that are stopped in turn while the store is away from all nodes forget the departure. Cause: confirmations were checked after writes and responses of peers only; what a peer holds ended with its process. Change: confirmations are checked when the registration changes; a stopping peer sends its entries to others; entries of the running process are not read as those of an earlier one. A health check finds the successor of an upstream that has left. The checks for visible ASCII and for the same start stand once.

--- a/src/include/pollenhall/mesh/departures.hpp
+++ b/src/include/pollenhall/mesh/departures.hpp
@@ -1,8 +1,7 @@
-// Keeps the departure of an upstream, which its node has acknowledged, beyond
-// the end of the node's process. The host entry in the store does so as soon as
-// it is written. While the store cannot be reached from the node, peers keep
-// the entry in its place: they write it to the store if they can, and send it
-// back to the host, where a restarted process may know only the older entry.
+// Replicates the departure of an upstream to peers while its node cannot write
+// the host entry. An acknowledged departure also binds later processes of the
+// node, and these find only the older entry in the store. Peers write the entry
+// to the store if they can, and send it to the host until the store has it.
 
 #pragma once
 
@@ -16,8 +15,8 @@
 namespace pollenhall::mesh
 {
 
-/// Whether `stored` contains the departure in `departing`, or a later start of
-/// the upstream.
+/// Whether the entry `stored` makes `departing` obsolete: it has the same
+/// departure, or a later start of the upstream.
 [[nodiscard]] bool contains_departure(host_entry const& stored,
                                       host_entry const& departing);
 
@@ -25,10 +24,10 @@
 struct departure_replica_options
 {
     host_address own_host;
-    /// Peers that must hold the entry. A second one, because a peer may end
-    /// before the store has it.
+    /// Number of peers that must hold the entry: one of them may end before the
+    /// store has it.
     std::size_t min_holders = 2;
-    /// Peers that are asked at the same time.
+    /// Number of peers that hold the entry or are asked at the same time.
     std::size_t fanout = 3;
 };
 
@@ -38,7 +37,7 @@
 public:
     explicit departure_replicas(departure_replica_options options);
 
-    /// Begins with a new departure.
+    /// Forgets all peers, for a new departure.
     void reset();
     /// Peers to ask next; none while enough requests are open or answered.
     /// Peers that have failed are asked again after all others.
@@ -52,7 +51,7 @@
     is_held(std::map<host_address, host_entry> const& hosts) const;
 
 private:
-    // Peers of this node that may hold an entry.
+    // Peers that may hold an entry of this node, in the order of asking.
     [[nodiscard]] std::vector<host_address>
     candidates(std::map<host_address, host_entry> const& hosts) const;
 
@@ -65,8 +64,8 @@
 /// Settings of `departure_keeper`.
 struct departure_keeper_options
 {
-    /// Longer than an upstream serves after it has announced its departure, and
-    /// than its heartbeats can be late.
+    /// Longer than an upstream runs after it has announced its departure, and
+    /// longer than heartbeats are delayed.
     milliseconds lifetime{60'000};
     /// Maximum number of entries; the oldest one is dropped for a new one.
     std::size_t max_entries = 1'024;
--- a/src/include/pollenhall/mesh/registration.hpp
+++ b/src/include/pollenhall/mesh/registration.hpp
@@ -25,11 +25,13 @@
 /// its previous start.
 using incarnation_id = strong_value<struct incarnation_id_tag, std::string>;
 
+/// Whether all characters are visible ASCII, which both a header field and a
+/// JSON string can hold.
+bool is_visible_ascii(std::string_view text);
 /// Longest identifier of an incarnation that is accepted.
 inline constexpr std::size_t max_incarnation_bytes = 256;
-/// Checks an identifier from another process. It is written to header fields
-/// and to JSON, so only visible ASCII is accepted; returns `InvalidArgument`
-/// for anything else.
+/// Checks an identifier from another process, which is later written to header
+/// fields and to JSON. Returns `InvalidArgument` unless it is visible ASCII.
 absl::StatusOr<incarnation_id> parse_incarnation_id(std::string_view text);
 
 /// State that an upstream reports about itself.
@@ -110,18 +112,17 @@
     /// changed.
     bool on_leave(incarnation_id const& incarnation, mono_time now);
     /// Registers the incarnation that a health check has found, if there was no
-    /// heartbeat before. `started` is empty if it is not known. Returns whether
-    /// the state changed.
+    /// heartbeat before or the registered upstream has left. `started` is empty
+    /// if it is not known. Returns whether the state changed.
     bool on_health_check(incarnation_id const& incarnation,
                          std::optional<wall_time> started, int slots,
                          mono_time now);
 
-    /// Adds a state that an earlier process of this node acknowledged.
-    /// Heartbeats that are older are rejected, so that a late one does not
-    /// bring back an upstream that has announced its end. If the registered
-    /// upstream is of the same start, it takes over the announcement; one of
-    /// an earlier start is dropped. Returns whether the registered upstream
-    /// changed.
+    /// Adds a state that an earlier process of this node acknowledged. Older
+    /// heartbeats are rejected, so that a late one does not bring back an
+    /// upstream that has announced its end. A registered upstream of the same
+    /// start is marked as draining or left; one of an earlier start is dropped.
+    /// Returns whether the registered upstream changed.
     bool set_acknowledged(acknowledged_upstream const& state);
 
     /// The registered upstream; empty before the first heartbeat, health check
@@ -132,8 +133,8 @@
     }
 
 private:
-    // Joins `state` with what is known of the same start, or keeps the later
-    // start.
+    // Merges `state` into the acknowledged state of the same start. Of two
+    // different starts, the later one is kept.
     void merge_acknowledged(acknowledged_upstream const& state);
     // Why `heartbeat` is older than the acknowledged state; empty if it is not.
     [[nodiscard]] std::optional<heartbeat_rejection>
--- a/src/libpollenhall_mesh/departures.cpp
+++ b/src/libpollenhall_mesh/departures.cpp
@@ -1,4 +1,5 @@
-// Compares departures with stored entries, and counts the peers that hold one.
+// Compares departures with stored entries, and chooses and counts the peers
+// that hold one.
 
 #include <pollenhall/mesh/departures.hpp>
 
@@ -39,8 +40,8 @@
     for (auto const& [host, entry] : hosts)
         if (host != options_.own_host && !entry.stopping)
             peers.push_back(host);
-    // Spreads the entries of a zone over its peers, in an order of its own for
-    // each host.
+    // The order differs from host to host, so that entries spread over all
+    // peers.
     auto const order = [&](host_address const& peer)
     { return hash_text(options_.own_host.value() + " " + peer.value()); };
     std::sort(peers.begin(), peers.end(),
--- a/src/libpollenhall_mesh/registration.cpp
+++ b/src/libpollenhall_mesh/registration.cpp
@@ -8,13 +8,37 @@
 
 namespace pollenhall::mesh
 {
+namespace
+{
+
+// Whether two states are of the same start of an upstream. An identifier may be
+// reused, so the start times decide if both are known.
+template <class Left, class Right>
+bool is_same_start(Left const& left, Right const& right)
+{
+    return left.incarnation == right.incarnation &&
+           (!left.started || !right.started || *left.started == *right.started);
+}
+
+// Whether `left` is known to have started before `right`.
+template <class Left, class Right>
+bool started_before(Left const& left, Right const& right)
+{
+    return left.started && right.started && *left.started < *right.started;
+}
+
+} // namespace
+
+bool is_visible_ascii(std::string_view text)
+{
+    return std::all_of(text.begin(), text.end(),
+                       [](char c) { return c > ' ' && c < 0x7f; });
+}
 
 absl::StatusOr<incarnation_id> parse_incarnation_id(std::string_view text)
 {
-    bool const is_visible_ascii = std::all_of(
-        text.begin(), text.end(), [](char c) { return c > ' ' && c < 0x7f; });
     if (text.empty() || text.size() > max_incarnation_bytes ||
-        !is_visible_ascii)
+        !is_visible_ascii(text))
         return absl::InvalidArgumentError(
             "incarnation is not 1 to " + std::to_string(max_incarnation_bytes) +
             " characters of visible ASCII");
@@ -45,13 +69,9 @@
     if (current_)
     {
         auto const& registered = current_->last;
-        bool const has_start_times =
-            registered.started.has_value() && heartbeat.started.has_value();
-        if (has_start_times && *heartbeat.started < *registered.started)
+        if (started_before(heartbeat, registered))
             return heartbeat_rejection::old_start;
-        bool const same_start =
-            heartbeat.incarnation == registered.incarnation &&
-            (!has_start_times || *heartbeat.started == *registered.started);
+        bool const same_start = is_same_start(heartbeat, registered);
         if (same_start && current_->left)
             return heartbeat_rejection::has_left;
         if (same_start && heartbeat.sequence <= registered.sequence)
@@ -78,7 +98,8 @@
         current_ = registered_upstream{.last = {.incarnation = incarnation,
                                                 .service = service_,
                                                 .address = address_}};
-    // Tells this start from a later one with the same identifier.
+    // Without a start time, a later start with the same identifier would count
+    // as this one.
     if (!current_->last.started && acknowledged_ &&
         acknowledged_->incarnation == incarnation)
         current_->last.started = acknowledged_->started;
@@ -94,13 +115,9 @@
 {
     if (!acknowledged_)
         return std::nullopt;
-    bool const has_start_times =
-        acknowledged_->started.has_value() && heartbeat.started.has_value();
-    if (has_start_times && *heartbeat.started < *acknowledged_->started)
+    if (started_before(heartbeat, *acknowledged_))
         return heartbeat_rejection::old_start;
-    bool const same_start =
-        heartbeat.incarnation == acknowledged_->incarnation &&
-        (!has_start_times || *heartbeat.started == *acknowledged_->started);
+    bool const same_start = is_same_start(heartbeat, *acknowledged_);
     if (same_start && acknowledged_->left)
         return heartbeat_rejection::has_left;
     if (same_start && acknowledged_->draining &&
@@ -117,14 +134,9 @@
         acknowledged_ = state;
         return;
     }
-    bool const has_start_times =
-        acknowledged_->started.has_value() && state.started.has_value();
-    bool const same_start =
-        acknowledged_->incarnation == state.incarnation &&
-        (!has_start_times || *acknowledged_->started == *state.started);
-    if (!same_start)
+    if (!is_same_start(*acknowledged_, state))
     {
-        if (!has_start_times || *state.started > *acknowledged_->started)
+        if (!started_before(state, *acknowledged_))
             acknowledged_ = state;
         return;
     }
@@ -159,7 +171,8 @@
                                             std::optional<wall_time> started,
                                             int slots, mono_time now)
 {
-    if (current_)
+    if (current_ &&
+        (!current_->left || current_->last.incarnation == incarnation))
         return false;
     if (acknowledged_ && acknowledged_->incarnation == incarnation &&
         (acknowledged_->left || acknowledged_->draining))
--- a/src/libpollenhall_mesh/registration_test.cpp
+++ b/src/libpollenhall_mesh/registration_test.cpp
@@ -182,6 +182,15 @@
         CHECK_FALSE(registration.on_health_check(incarnation_id("a"),
                                                  std::nullopt, 40, now));
         CHECK_FALSE(registration.current().has_value());
+        SUBCASE("until a health check finds its successor")
+        {
+            registration.on_leave(incarnation_id("a"), now);
+            CHECK_FALSE(registration.on_health_check(incarnation_id("a"),
+                                                     std::nullopt, 40, now));
+            CHECK(registration.on_health_check(incarnation_id("b"),
+                                               std::nullopt, 40, now));
+            CHECK(registration.current()->accepts_work());
+        }
     }
     SUBCASE("is not ready again by a heartbeat from before it drained")
     {
--- a/src/pollenhall_sidecar/control_departures.cpp
+++ b/src/pollenhall_sidecar/control_departures.cpp
@@ -1,5 +1,6 @@
-// Departures of upstreams in control_node: when one may be acknowledged, and
-// the entries that nodes keep for each other until the store has them.
+// Departures of upstreams in control_node: confirms that a departure is
+// recorded outside this process, and keeps the entries of peers until the store
+// has them.
 
 #include "control_node.hpp"
 
@@ -11,13 +12,13 @@
 namespace
 {
 
-// Time for the store to take the entry before peers are asked as well. The
-// store usually responds within milliseconds.
-constexpr milliseconds store_write_time{150};
-// The platform takes a response after a second for a lost one.
+// Time after which peers are asked as well. The store usually responds within
+// milliseconds.
+constexpr milliseconds store_write_timeout{150};
+// The upstream ignores responses that take longer than a second.
 constexpr milliseconds departure_timeout{850};
-// How often kept entries are sent to their hosts. A restarted process must know
-// within 2 s of the acknowledgement, half a second of which is its restart.
+// How often kept entries are sent to their hosts. A restarted process must
+// receive them within 2 s of the acknowledgement, and its restart takes 0.5 s.
 constexpr milliseconds kept_entry_interval{500};
 
 } // namespace
@@ -46,7 +47,8 @@
                                      departure_timeout,
                                      [this, id] { on_confirm_timeout(id); })});
     if (store_reachable_)
-        timers_.after(store_write_time, [this] { ask_departure_replicas(); });
+        timers_.after(store_write_timeout,
+                      [this] { ask_departure_replicas(); });
     else
         ask_departure_replicas();
 }
@@ -56,6 +58,8 @@
     auto const confirmation = confirmations_.extract(id);
     if (confirmation.empty())
         return;
+    // check_departure ends the confirmations when the registration changes, so
+    // there is an upstream that departs.
     auto const& upstream = *registration_.current();
     log_event("departure_not_recorded", log_level::warning)
         .add("incarnation", upstream.last.incarnation.value())
@@ -131,9 +135,11 @@
     if (entry->host == options_.host)
     {
         from->respond({.status = 200}, false);
-        return apply_earlier_entry(*entry, "peer");
+        if (entry->boot != boot_)
+            apply_earlier_entry(*entry, "peer");
+        return;
     }
-    // What this process holds ends with it.
+    // A stopping process cannot keep it.
     if (stopping_)
         return from->respond({.status = 503}, false);
     log_event("departure_kept")
@@ -158,8 +164,8 @@
     store_.write(key, write_host_entry(entry), mirror_.revision_of(key),
                  [host = entry.host](absl::StatusOr<store_revision> written)
                  {
-                     // If the store refuses it, the entry has changed or
-                     // another holder was earlier; if it cannot be reached,
+                     // A conflict means that the entry has changed, or that
+                     // another holder has written it. After any other error,
                      // the host or another holder writes it.
                      log_event("kept_entry_written")
                          .add("host", host.value())
@@ -174,12 +180,34 @@
     timers_.after(kept_entry_interval, [this] { send_kept_entries(); });
 }
 
+void control_node::hand_over_kept_entries()
+{
+    for (auto const& entry : departures_.pending(hosts_, mono_now()))
+        for (auto const& peer :
+             mesh::departure_replicas({.own_host = options_.host})
+                 .next_peers(hosts_))
+            send_entry(peer, entry,
+                       [peer](exchange_result const& result)
+                       {
+                           if (result.end != exchange_end::answered)
+                               log_event("departure_not_held_by_peer",
+                                         log_level::warning)
+                                   .add("peer", peer.value())
+                                   .add("end", to_string(result.end))
+                                   .add("status", result.response.status);
+                       });
+}
+
 void control_node::send_kept_entries()
 {
+    // Other peers have them now.
+    if (stopping_)
+        return;
     for (auto& entry : departures_.pending(hosts_, mono_now()))
     {
         auto const host = entry.host;
-        // No response is needed: the store shows whether the host knows.
+        // The response does not matter: the entry is sent until the store has
+        // it.
         send_entry(host, std::move(entry), [](exchange_result const&) {});
     }
     if (!departures_.empty())
@@ -198,8 +226,8 @@
                                         .sequence = entry.sequence,
                                         .draining = entry.draining,
                                         .left = entry.left});
-    // Without a registered upstream, the entry in the store would stay as it
-    // was before the departure.
+    // Registers it as left, because only the entry of a registered upstream is
+    // published.
     if (entry.left && !registration_.current())
         changed = registration_.on_leave(entry.incarnation, mono_now());
     log_event("earlier_entry_read")
@@ -218,6 +246,7 @@
     {
         traffic_.set_upstream(std::nullopt);
         publish_hosts();
+        check_departure();
     }
 }
 
--- a/src/pollenhall_sidecar/control_node.cpp
+++ b/src/pollenhall_sidecar/control_node.cpp
@@ -74,6 +74,7 @@
     stopping_ = true;
     change_feed_.set_current(false);
     publish_entry();
+    hand_over_kept_entries();
 }
 
 void control_node::read_store()
@@ -477,9 +478,10 @@
         traffic_.set_upstream(upstream);
         publish_hosts();
     }
-    // A departure is published even if nothing else is trusted.
+    // A departure is published even if the upstream is not trusted yet.
     if (upstream_is_trusted() || !upstream.accepts_work())
         publish_entry();
+    check_departure();
 }
 
 mesh::heartbeat_result
@@ -512,8 +514,9 @@
 
 void control_node::check_upstream_health()
 {
-    if (registration_.current() || stopping_ ||
-        health_checks_ >= max_health_checks)
+    bool const has_upstream =
+        registration_.current() && !registration_.current()->left;
+    if (has_upstream || stopping_ || health_checks_ >= max_health_checks)
         return;
     ++health_checks_;
     auto const* service = routes_->config().services.empty()
--- a/src/pollenhall_sidecar/control_node.hpp
+++ b/src/pollenhall_sidecar/control_node.hpp
@@ -120,6 +120,7 @@
                              std::string_view source);
     // Whether the departure of the upstream is in the store or held by peers.
     [[nodiscard]] bool departure_is_recorded() const;
+    // Ends all pending confirmations if the departure is recorded.
     void check_departure();
     void on_confirm_timeout(std::uint64_t id);
     void ask_departure_replicas();
@@ -128,10 +129,13 @@
                     std::function<void(exchange_result const&)> on_end);
     void receive_departure(std::shared_ptr<server_exchange> const& from,
                            std::string const& body);
+    // Writes the entry that a peer could not write itself.
     void write_kept_entry(mesh::host_entry const& entry);
     void schedule_kept_entries();
     // Sends kept entries to their hosts, until the store has them.
     void send_kept_entries();
+    // Sends kept entries to other peers before this process ends.
+    void hand_over_kept_entries();
     // Whether the registered upstream may get calls. An earlier process of this
     // node may have acknowledged that it leaves; as long as that is not known,
     // a single heartbeat may be a late one.
