Two silent relays no longer delay a configuration for over 2 s

Seen: with both relays of a zone unresponsive, or one unresponsive and the other cut off from the store, followers had a new configuration after more than 2 s. Cause: a follower waited 1 s for the first relay and 1 s for the next one. Change: after a failure, each other relay is polled without a wait first.

--- a/src/include/pollenhall/mesh/store_relays.hpp
+++ b/src/include/pollenhall/mesh/store_relays.hpp
@@ -5,9 +5,9 @@
 // the square of the fleet size. Instead, the first few hosts of each
 // availability zone, in an order that is the same at all hosts, watch the store
 // as relays, and the others poll the relays in turn. Relays also poll each
-// other, across zones: one that is cut off from the store without a sign would
-// otherwise pass on nothing until its watch times out, and all relays of a zone
-// may be cut off at the same time.
+// other, across zones: a relay that is partitioned from the store does not
+// notice before its watch times out, and this may happen to all relays of a
+// zone at the same time.
 
 #pragma once
 
@@ -31,8 +31,8 @@
     /// Minimum number of relays in a zone. One relay is not enough, because it
     /// may be cut off from the store without noticing.
     std::size_t min_relays = 2;
-    /// The same if all hosts are in one zone: two hosts may be cut off at the
-    /// same time.
+    /// The same if all hosts are in one zone, because two hosts may be
+    /// partitioned from the store at the same time.
     std::size_t min_relays_of_single_zone = 3;
     /// Time for which a relay is not polled after it could not be reached or
     /// did not receive changes itself. Doubles with each failure up to
@@ -57,6 +57,10 @@
     /// over all relays but itself; empty if this node is not a relay or there
     /// is no other.
     [[nodiscard]] std::optional<host_address> choose_other_relay(mono_time now);
+    /// Whether a poll of this relay must ask for an immediate response. After a
+    /// relay has failed, each other one is polled so once: several unresponsive
+    /// relays would otherwise delay a configuration for over 2 s.
+    [[nodiscard]] bool must_verify(host_address const& relay) const;
     /// Whether the node is a relay when all relays are reachable.
     [[nodiscard]] bool is_default_relay() const;
     /// The hosts of the zone that are assigned to this node for probing; none
@@ -75,6 +79,8 @@
         std::uint64_t order = 0;
         mono_time paused_until{};
         milliseconds pause{0};
+        // It has not responded since a relay failed.
+        bool unverified = false;
     };
 
     // Number of relays of a zone with `candidates` hosts.
--- a/src/libpollenhall_mesh/store_relays.cpp
+++ b/src/libpollenhall_mesh/store_relays.cpp
@@ -141,10 +141,20 @@
     return nullptr;
 }
 
+bool store_relays::must_verify(host_address const& relay) const
+{
+    return std::any_of(candidates_.begin(), candidates_.end(),
+                       [&](auto const& item)
+                       { return item.host == relay && item.unverified; });
+}
+
 void store_relays::on_response(host_address const& relay)
 {
     if (auto* item = find(relay))
+    {
         item->pause = milliseconds{0};
+        item->unverified = false;
+    }
 }
 
 void store_relays::on_failure(host_address const& relay, mono_time now)
@@ -155,6 +165,9 @@
     item->pause =
         std::clamp(item->pause * 2, options_.initial_pause, options_.max_pause);
     item->paused_until = now + item->pause;
+    for (auto* list : {&candidates_, &remote_relays_})
+        for (auto& other : *list)
+            other.unverified = true;
 }
 
 } // namespace pollenhall::mesh
--- a/src/libpollenhall_mesh/store_relays_test.cpp
+++ b/src/libpollenhall_mesh/store_relays_test.cpp
@@ -159,6 +159,16 @@
             CHECK(next != first);
         }
     }
+    SUBCASE("verifies the others before it waits for their changes")
+    {
+        auto const second = *relays.choose(start);
+        REQUIRE(second != first);
+        CHECK(relays.must_verify(second));
+        relays.on_response(second);
+        CHECK_FALSE(relays.must_verify(second));
+        // Also the one that failed, when it is polled again.
+        CHECK(relays.must_verify(first));
+    }
     SUBCASE("watches the store after all relays have failed")
     {
         for (int i = 0; i < 20; ++i)
--- a/src/pollenhall_sidecar/control_peers.cpp
+++ b/src/pollenhall_sidecar/control_peers.cpp
@@ -25,8 +25,8 @@
 // Delay before the next peer is watched after one has failed.
 constexpr milliseconds peer_failure_delay{50};
 // Delay between two polls of other relays, so that the entries of many starting
-// hosts arrive in a few batches. With the wait of a poll and one relay that is
-// cut off as well, a configuration is still in force within 2 s.
+// hosts arrive in a few batches. Even if one of the other relays is partitioned
+// too, a configuration is in force within 2 s.
 constexpr milliseconds other_relay_delay{300};
 // Number of peers that a node sends new suspicions to. Up to this number of
 // hosts, all of them get each suspicion from the node that reports it; in a
@@ -39,7 +39,9 @@
 
 void control_node::watch_peer(mesh::host_address const& peer)
 {
-    request_changes(peer, options_.watch.max_peer_wait,
+    request_changes(peer,
+                    relays_.must_verify(peer) ? milliseconds{0}
+                                              : options_.watch.max_peer_wait,
                     [this, peer](exchange_result const& result)
                     { on_peer_response(peer, result); });
 }
