A response that is reset during an upload is not complete

Seen: an upstream answers a long upload at once with a 200 without a length, sends a part of the body and resets the connection while the upload is still being written. The caller gets that part as a complete response; so it does for a 500, and from a peer. Cause: the kernel reports a reset once. While an upload is being written, the write gets it (ECONNRESET) and the read then sees the end of the stream, which completes a response without a length. Traced: "write: Connection reset by peer", then "read: End of file". The error of the write was dropped. Change: the connection keeps that error and takes it for the end that the read sees. The rest of a request is written when the socket is writable, not by async_write, so that the error is known before any later read. EPIPE is left out: there the server had ended its side in order before it reset the connection. It holds already, and stays covered: the same without an upload, with a length, in chunks, in the head, and an orderly end during an upload.

--- /dev/null
+++ b/src/pollenhall_sidecar/broken_response_test.cpp
@@ -0,0 +1,261 @@
+// Tests broken responses with real sockets on loopback: a node whose upstream,
+// or whose only peer, writes the bytes that a test sets. Guards against a
+// broken response that a caller gets as a complete one, and against one that
+// ends a call only at its time limit.
+
+#include "sidecar_fixture.hpp"
+
+#include <asio/socket_base.hpp>
+#include <asio/steady_timer.hpp>
+
+namespace
+{
+
+using namespace pollenhall;
+using namespace pollenhall::sidecar;
+using namespace pollenhall::sidecar::testing;
+
+// Larger than what the kernel buffers of a connection, so that the request is
+// still being written when the response arrives.
+constexpr std::size_t long_upload_bytes = std::size_t{16} * 1'024 * 1'024;
+// Well below the time limit of the route.
+constexpr milliseconds max_failure_time{2'000};
+
+/// How a server ends a connection after its response.
+enum class connection_end
+{
+    // Ends its side and reads on until the client closes as well.
+    orderly,
+    // Ends its side and closes the connection with bytes of the request unread,
+    // so that a reset follows.
+    orderly_then_reset,
+    reset,
+    // Keeps the connection open.
+    none
+};
+
+/// A server that responds with given bytes as soon as a request arrives.
+class faulty_server
+{
+public:
+    explicit faulty_server(asio::io_context& context)
+        : timer_(context),
+          server_(context, "127.0.0.3",
+                  [this](auto const& client) { respond(client); })
+    {
+    }
+
+    std::string response;
+    connection_end end = connection_end::none;
+    // Time between the response and the end of the connection.
+    milliseconds end_delay{0};
+    int requests = 0;
+
+    [[nodiscard]] asio::ip::tcp::endpoint address() const
+    {
+        return server_.address();
+    }
+
+private:
+    void respond(raw_server::connection const& client)
+    {
+        ++requests;
+        std::error_code ignored; // the client may have left
+        asio::write(*client, asio::buffer(response), ignored);
+        open_.push_back(client);
+        if (end_delay == milliseconds{0})
+            return end_connection(client);
+        timer_.expires_after(end_delay);
+        timer_.async_wait(
+            [this, client](std::error_code error)
+            {
+                if (!error)
+                    end_connection(client);
+            });
+    }
+
+    void end_connection(raw_server::connection const& client)
+    {
+        std::error_code ignored; // the client may have left
+        switch (end)
+        {
+        case connection_end::orderly:
+            client->shutdown(asio::socket_base::shutdown_send, ignored);
+            return drain(client);
+        case connection_end::orderly_then_reset:
+            client->shutdown(asio::socket_base::shutdown_send, ignored);
+            client->close(ignored);
+            return;
+        case connection_end::reset:
+            client->set_option(asio::socket_base::linger(true, 0), ignored);
+            client->close(ignored);
+            return;
+        case connection_end::none:
+            return;
+        }
+    }
+
+    // Unread bytes would turn the end of the connection into a reset.
+    void drain(raw_server::connection const& client)
+    {
+        client->async_read_some(
+            asio::buffer(drained_),
+            [this, client](std::error_code error, std::size_t)
+            {
+                if (!error)
+                    drain(client);
+            });
+    }
+
+    std::array<char, 65'536> drained_{};
+    asio::steady_timer timer_;
+    std::vector<raw_server::connection> open_;
+    raw_server server_;
+};
+
+/// A node whose upstream, or whose only peer, is a faulty server, and a caller.
+struct node_with_faulty_server
+{
+    enum class role
+    {
+        upstream,
+        peer
+    };
+
+    explicit node_with_faulty_server(role server_role)
+        : server_is_peer(server_role == role::peer)
+    {
+        auto options = nodes.first_options;
+        if (!server_is_peer)
+            options.upstream = server.address();
+        options.outbound = free_address();
+        options.gate = free_address();
+        node.emplace(nodes.context, options, nodes.metrics);
+        REQUIRE(node->open().ok());
+        node->set_upstream(nodes.first_upstream.registration());
+        auto route = make_route("/order/", false);
+        route.timeout = seconds{10};
+        node->set_routes(
+            std::make_shared<mesh::route_table const>(mesh::configuration{
+                .version = mesh::config_version(1), .routes = {route}}));
+        hosts = {nodes.hosts().at(server_is_peer ? 1 : 0)};
+        hosts[0].gate_port = options.gate.port();
+        if (server_is_peer)
+        {
+            hosts[0].host =
+                mesh::host_address(server.address().address().to_string());
+            hosts[0].gate_port = server.address().port();
+        }
+        nodes.caller = std::make_shared<client_pool>(
+            nodes.context, nodes.timers, options.outbound,
+            client_pool_options{});
+    }
+
+    /// Fields without which a response is not taken for the one to a request.
+    [[nodiscard]] std::string fields() const
+    {
+        std::string const fields = "Test-Id: 7\r\nTest-Signature: s\r\n";
+        if (!server_is_peer)
+            return fields;
+        return fields + gate_report_header + ": " +
+               format_gate_report({.end = mesh::attempt_end::answered,
+                                   .reason = "answered",
+                                   .load = {.limit = 20}}) +
+               "\r\n";
+    }
+
+    /// Sends a request that may run once, to which the server responds with
+    /// `response`.
+    exchange_result call(std::string response, std::size_t upload_bytes = 5)
+    {
+        server.response = std::move(response);
+        // Ends the pause of a peer that broke off.
+        node->set_hosts({});
+        node->set_hosts(hosts);
+        auto request =
+            nodes.make_request("POST", "/order/" + std::to_string(++calls));
+        request.fields.set(names.request_id, "7");
+        request.fields.set(names.time_left_ms, "10000");
+        request.body.assign(upload_bytes, 'u');
+        auto const began = mono_now();
+        auto result = nodes.call(request);
+        CHECK(mono_now() - began < max_failure_time);
+        return result;
+    }
+
+    bool const server_is_peer;
+    two_nodes nodes;
+    faulty_server server{nodes.context};
+    std::optional<traffic_node> node;
+    std::vector<mesh::host_entry> hosts;
+    int calls = 0;
+};
+
+} // namespace
+
+TEST_CASE("a response whose connection ends")
+{
+    std::optional<node_with_faulty_server> test;
+    std::size_t upload_bytes = 5;
+
+    SUBCASE("after a short request, by an upstream")
+    {
+        test.emplace(node_with_faulty_server::role::upstream);
+    }
+    SUBCASE("after a short request, by a peer")
+    {
+        test.emplace(node_with_faulty_server::role::peer);
+    }
+    SUBCASE("during an upload, by an upstream")
+    {
+        test.emplace(node_with_faulty_server::role::upstream);
+        upload_bytes = long_upload_bytes;
+    }
+    SUBCASE("during an upload, by a peer")
+    {
+        test.emplace(node_with_faulty_server::role::peer);
+        upload_bytes = long_upload_bytes;
+    }
+    REQUIRE(test);
+    auto& server = test->server;
+    for (std::string const status : {"200 OK", "500 Failed"})
+        for (milliseconds const delay : {milliseconds{0}, milliseconds{30}})
+        {
+            CAPTURE(status);
+            CAPTURE(delay.count());
+            server.end_delay = delay;
+            auto const head = "HTTP/1.1 " + status + "\r\n" + test->fields();
+            auto const whole_status = status == "200 OK" ? 200 : 500;
+            auto const with_length = head + "Content-Length: 5\r\n\r\nHello";
+            auto const in_chunks = head + "Transfer-Encoding: chunked\r\n\r\n"
+                                          "5\r\nHello\r\n0\r\n\r\n";
+            auto const without_length = head + "\r\nHello";
+
+            // Without a length, only an orderly end shows that it is complete.
+            server.end = connection_end::reset;
+            CHECK(test->call(without_length, upload_bytes).response.status ==
+                  502);
+            for (auto const end :
+                 {connection_end::orderly, connection_end::orderly_then_reset})
+            {
+                server.end = end;
+                auto const whole = test->call(without_length, upload_bytes);
+                CHECK(whole.response.status == whole_status);
+                CHECK(whole.response.body == "Hello");
+            }
+            for (auto const end :
+                 {connection_end::orderly, connection_end::reset})
+            {
+                server.end = end;
+                for (auto const& bytes : {with_length, in_chunks})
+                {
+                    auto const cut = bytes.substr(0, bytes.size() - 1);
+                    CHECK(test->call(cut, upload_bytes).response.status == 502);
+                    auto const result = test->call(bytes, upload_bytes);
+                    CHECK(result.response.status == whole_status);
+                    CHECK(result.response.body == "Hello");
+                }
+                CHECK(test->call(head, upload_bytes).response.status == 502);
+            }
+        }
+}
--- a/src/pollenhall_sidecar/client_connection.cpp
+++ b/src/pollenhall_sidecar/client_connection.cpp
@@ -11,7 +11,6 @@
 
 #include <asio/buffer.hpp>
 #include <asio/post.hpp>
-#include <asio/write.hpp>
 
 namespace pollenhall::sidecar
 {
@@ -138,32 +137,45 @@
 void client_connection::write()
 {
     std::error_code error;
+    write_some(error);
+    if (error)
+        return post_finish(
+            {.end = exchange_end::broken, .detail = error.message()});
+    if (!request_sent_)
+        write_rest();
+    read();
+}
+
+void client_connection::write_rest()
+{
+    socket_.async_wait(asio::ip::tcp::socket::wait_write,
+                       [self = shared_from_this()](std::error_code)
+                       {
+                           if (self->closed_)
+                               return;
+                           std::error_code error;
+                           self->write_some(error);
+                           // EPIPE means that the server had ended its side
+                           // before it reset the connection.
+                           if (error && error != asio::error::broken_pipe)
+                               self->write_error_ = error;
+                           // After an error, the pending read gets any response
+                           // that was received before.
+                           if (!error && !self->request_sent_)
+                               self->write_rest();
+                       });
+}
+
+void client_connection::write_some(std::error_code& error)
+{
     auto const& bytes = request_.bytes;
     bytes_written_ +=
         socket_.write_some(asio::buffer(bytes.data() + bytes_written_,
                                         bytes.size() - bytes_written_),
                            error);
-    if (error && error != asio::error::would_block &&
-        error != asio::error::try_again)
-        return post_finish(
-            {.end = exchange_end::broken, .detail = error.message()});
-    if (bytes_written_ == bytes.size())
-    {
-        request_sent_ = true;
-        return read();
-    }
-    asio::async_write(
-        socket_,
-        asio::buffer(bytes.data() + bytes_written_,
-                     bytes.size() - bytes_written_),
-        [self = shared_from_this()](std::error_code failed, std::size_t)
-        {
-            // A write error is also reported by the pending read, after any
-            // response that was received before.
-            if (!failed)
-                self->request_sent_ = true;
-        });
-    read();
+    if (error == asio::error::would_block || error == asio::error::try_again)
+        error.clear();
+    request_sent_ = bytes_written_ == bytes.size();
 }
 
 void client_connection::read()
@@ -186,6 +198,10 @@
     if (!busy_)
         // The server closed an idle connection or sent unsolicited data.
         return close();
+    // The kernel reports a reset once. If the write got it, the read sees the
+    // end of the stream instead.
+    if (error == asio::error::eof && write_error_)
+        error = write_error_;
     if (error)
     {
         if (error == asio::error::eof &&
--- a/src/pollenhall_sidecar/client_connection.hpp
+++ b/src/pollenhall_sidecar/client_connection.hpp
@@ -42,7 +42,12 @@
 
 private:
     void send();
+    // Writes the beginning of the request, and then the rest of it whenever the
+    // connection accepts more.
     void write();
+    void write_rest();
+    // Writes what the connection accepts at once, which may be nothing.
+    void write_some(std::error_code& error);
     void read();
     void on_read(std::error_code error, std::size_t size);
     void parse(std::string_view data);
@@ -66,6 +71,9 @@
     std::array<char, 4'096> buffer_{};
     exchange_request request_;
     std::size_t bytes_written_ = 0;
+    // Set if writing the request failed because the connection broke before the
+    // server had ended its side.
+    std::error_code write_error_;
     // Ids of the requests that were rejected on this connection; bounded,
     // because it is closed when there are too many.
     std::vector<std::string> rejected_ids_;
