pollenhalld: a response that is reset during an upload is not complete

Seen: as in the sidecar, a part of a response without a length, 200 or 500, counts as complete if the upstream resets the connection while the request is being written. Cause: the same. The write gets the reset, returns so that a response is read, and the read sees the end of the stream. Change: the connection keeps that the write failed, and then takes no end of the stream for the end of a response. The faulty server of the tests moves to a header of its own, as both data planes use it.

--- /dev/null
+++ b/src/libpollenhall_io/broken_response_test.cpp
@@ -0,0 +1,117 @@
+// Tests broken responses of the upstream of a daemon, with real sockets on
+// loopback. Guards against a broken response that counts as a complete one, and
+// against one that ends an exchange only at its deadline.
+
+#include "faulty_server.hpp"
+
+#include <pollenhall/io/clocks.hpp>
+#include <pollenhall/io/upstream_client.hpp>
+
+#include <doctest/doctest.h>
+
+#include <thread>
+
+namespace
+{
+
+using namespace pollenhall;
+using testing::connection_end;
+
+// Larger than what the kernel buffers of a connection, so that the request is
+// still being written when the response arrives.
+constexpr std::size_t long_upload_bytes = std::size_t{16} * 1'024 * 1'024;
+constexpr milliseconds call_timeout{10'000};
+// Well below the deadline of a call.
+constexpr milliseconds max_failure_time{2'000};
+
+/// An upstream that writes the bytes that a test sets.
+class faulty_upstream
+{
+public:
+    testing::faulty_server& server() { return server_; }
+
+    /// Makes a call to which the upstream responds with `response`.
+    call_result call(std::string response, std::size_t upload_bytes = 5)
+    {
+        server_.response = std::move(response);
+        context_.restart();
+        std::thread server_thread([this] { context_.run(); });
+        upstream_client client(4);
+        forwarded_call call;
+        call.method = "POST";
+        call.body = std::make_shared<std::string const>(upload_bytes, 'u');
+        auto const began = mono_now();
+        call.deadline = began + call_timeout;
+        exchange_handle handle;
+        auto const result = client.exchange(
+            {.address = "127.0.0.1", .port = server_.address().port()}, call,
+            {}, handle);
+        CHECK(mono_now() - began < max_failure_time);
+        context_.stop();
+        server_thread.join();
+        return result.result;
+    }
+
+private:
+    asio::io_context context_;
+    testing::faulty_server server_{context_};
+};
+
+} // namespace
+
+TEST_CASE("a response of an upstream whose connection ends")
+{
+    faulty_upstream upstream;
+    std::size_t upload_bytes = 5;
+
+    SUBCASE("after a short request") {}
+    SUBCASE("during an upload")
+    {
+        upload_bytes = long_upload_bytes;
+    }
+    for (int const status : {200, 500})
+        for (milliseconds const delay : {milliseconds{0}, milliseconds{30}})
+        {
+            CAPTURE(status);
+            CAPTURE(delay.count());
+            upstream.server().end_delay = delay;
+            auto const head =
+                "HTTP/1.1 " + std::to_string(status) + " Status\r\n";
+            auto const with_length = head + "Content-Length: 5\r\n\r\nHello";
+            auto const in_chunks = head + "Transfer-Encoding: chunked\r\n\r\n"
+                                          "5\r\nHello\r\n0\r\n\r\n";
+            auto const without_length = head + "\r\nHello";
+            auto const check_whole = [&](std::string const& bytes)
+            {
+                auto const result = upstream.call(bytes, upload_bytes);
+                CHECK(result.what == outcome::completed);
+                CHECK(result.status == status);
+                CHECK(result.body == "Hello");
+            };
+            auto const check_broken = [&](std::string const& bytes) {
+                CHECK(upstream.call(bytes, upload_bytes).what ==
+                      outcome::unknown);
+            };
+
+            // Without a length, only an orderly end shows that it is complete.
+            upstream.server().end = connection_end::reset;
+            check_broken(without_length);
+            for (auto const end :
+                 {connection_end::orderly, connection_end::orderly_then_reset})
+            {
+                upstream.server().end = end;
+                check_whole(without_length);
+            }
+            for (auto const end :
+                 {connection_end::orderly, connection_end::reset})
+            {
+                upstream.server().end = end;
+                for (auto const& bytes : {with_length, in_chunks})
+                {
+                    check_broken(bytes.substr(0, bytes.size() - 1));
+                    check_whole(bytes);
+                }
+                check_broken(head);
+            }
+        }
+}
--- a/src/libpollenhall_io/upstream_connection.cpp
+++ b/src/libpollenhall_io/upstream_connection.cpp
@@ -108,8 +108,13 @@
                 return request_end::answered;
         }
         else if (error)
+        {
+            // EPIPE means that the upstream had ended its side before it reset
+            // the connection.
+            is_reset_ = error != asio::error::broken_pipe;
             // The response, if any, was received before the connection broke.
             return request_end::answered;
+        }
     }
     return request_end::answered;
 }
@@ -129,7 +134,9 @@
         auto const size = socket_.read_some(asio::buffer(buffer), error);
         if (error == asio::error::would_block)
             continue;
-        if (error == asio::error::eof &&
+        // The kernel reports a reset once. If the write got it, the read sees
+        // the end of the stream instead.
+        if (error == asio::error::eof && !is_reset_ &&
             reader_.finish() == mesh::read_status::complete && take(response))
             return request_end::answered;
         if (error)
--- a/src/libpollenhall_io/upstream_connection.hpp
+++ b/src/libpollenhall_io/upstream_connection.hpp
@@ -64,6 +64,9 @@
     asio::ip::tcp::socket socket_;
     mesh::http_reader reader_;
     bool reusable_ = false;
+    // Whether writing the request failed because the connection broke before
+    // the upstream had ended its side.
+    bool is_reset_ = false;
 };
 
 } // namespace pollenhall
--- a/src/pollenhall_sidecar/broken_response_test.cpp
+++ b/src/pollenhall_sidecar/broken_response_test.cpp
@@ -5,9 +5,6 @@
 
 #include "sidecar_fixture.hpp"
 
-#include <asio/socket_base.hpp>
-#include <asio/steady_timer.hpp>
-
 namespace
 {
 
@@ -21,98 +18,6 @@
 // Well below the time limit of the route.
 constexpr milliseconds max_failure_time{2'000};
 
-/// How a server ends a connection after its response.
-enum class connection_end
-{
-    // Ends its side and reads on until the client closes as well.
-    orderly,
-    // Ends its side and closes the connection with bytes of the request unread,
-    // so that a reset follows.
-    orderly_then_reset,
-    reset,
-    // Keeps the connection open.
-    none
-};
-
-/// A server that responds with given bytes as soon as a request arrives.
-class faulty_server
-{
-public:
-    explicit faulty_server(asio::io_context& context)
-        : timer_(context),
-          server_(context, "127.0.0.3",
-                  [this](auto const& client) { respond(client); })
-    {
-    }
-
-    std::string response;
-    connection_end end = connection_end::none;
-    // Time between the response and the end of the connection.
-    milliseconds end_delay{0};
-    int requests = 0;
-
-    [[nodiscard]] asio::ip::tcp::endpoint address() const
-    {
-        return server_.address();
-    }
-
-private:
-    void respond(raw_server::connection const& client)
-    {
-        ++requests;
-        std::error_code ignored; // the client may have left
-        asio::write(*client, asio::buffer(response), ignored);
-        open_.push_back(client);
-        if (end_delay == milliseconds{0})
-            return end_connection(client);
-        timer_.expires_after(end_delay);
-        timer_.async_wait(
-            [this, client](std::error_code error)
-            {
-                if (!error)
-                    end_connection(client);
-            });
-    }
-
-    void end_connection(raw_server::connection const& client)
-    {
-        std::error_code ignored; // the client may have left
-        switch (end)
-        {
-        case connection_end::orderly:
-            client->shutdown(asio::socket_base::shutdown_send, ignored);
-            return drain(client);
-        case connection_end::orderly_then_reset:
-            client->shutdown(asio::socket_base::shutdown_send, ignored);
-            client->close(ignored);
-            return;
-        case connection_end::reset:
-            client->set_option(asio::socket_base::linger(true, 0), ignored);
-            client->close(ignored);
-            return;
-        case connection_end::none:
-            return;
-        }
-    }
-
-    // Unread bytes would turn the end of the connection into a reset.
-    void drain(raw_server::connection const& client)
-    {
-        client->async_read_some(
-            asio::buffer(drained_),
-            [this, client](std::error_code error, std::size_t)
-            {
-                if (!error)
-                    drain(client);
-            });
-    }
-
-    std::array<char, 65'536> drained_{};
-    asio::steady_timer timer_;
-    std::vector<raw_server::connection> open_;
-    raw_server server_;
-};
-
 /// A node whose upstream, or whose only peer, is a faulty server, and a caller.
 struct node_with_faulty_server
 {
@@ -185,7 +90,7 @@
 
     bool const server_is_peer;
     two_nodes nodes;
-    faulty_server server{nodes.context};
+    faulty_server server{nodes.context, "127.0.0.3"};
     std::optional<traffic_node> node;
     std::vector<mesh::host_entry> hosts;
     int calls = 0;
--- a/src/pollenhall_sidecar/sidecar_fixture.hpp
+++ b/src/pollenhall_sidecar/sidecar_fixture.hpp
@@ -11,6 +11,7 @@
 #include <pollenhall/io/clocks.hpp>
 
 #include <doctest/doctest.h>
+#include <faulty_server.hpp>
 
 #include <array>
 #include <deque>
@@ -20,6 +21,10 @@
 namespace pollenhall::sidecar::testing
 {
 
+using pollenhall::testing::connection_end;
+using pollenhall::testing::faulty_server;
+using pollenhall::testing::raw_server;
+
 inline mesh::header_names const names{.request_id = "Test-Id",
                                       .time_left_ms = "Test-Time-Left",
                                       .caller_service = "Test-Caller",
@@ -157,52 +162,6 @@
     std::map<server_connection const*, std::string> rejections_;
 };
 
-/// A server that hands each connection to a test once its first bytes have
-/// arrived.
-class raw_server
-{
-public:
-    using connection = std::shared_ptr<asio::ip::tcp::socket>;
-
-    raw_server(asio::io_context& context, char const* host,
-               std::function<void(connection const&)> on_request)
-        : acceptor_(context, {asio::ip::make_address(host), 0}),
-          on_request_(std::move(on_request))
-    {
-        accept();
-    }
-
-    [[nodiscard]] asio::ip::tcp::endpoint address() const
-    {
-        return acceptor_.local_endpoint();
-    }
-
-private:
-    void accept()
-    {
-        acceptor_.async_accept(
-            [this](std::error_code error, asio::ip::tcp::socket socket)
-            {
-                if (error)
-                    return;
-                auto const peer =
-                    std::make_shared<asio::ip::tcp::socket>(std::move(socket));
-                peer->async_read_some(
-                    asio::buffer(request_),
-                    [this, peer](std::error_code failed, std::size_t)
-                    {
-                        if (!failed)
-                            on_request_(peer);
-                    });
-                accept();
-            });
-    }
-
-    asio::ip::tcp::acceptor acceptor_;
-    std::function<void(connection const&)> on_request_;
-    std::array<char, 4'096> request_{};
-};
-
 /// An upstream that answers with a prefix and then with the same bytes again
 /// and again, until the client closes the connection.
 class endless_upstream
