A status line without a valid status is not a response

Seen: a response with the status 000, 099, 20 or 2 is skipped like an interim one, so the call ends only at its time limit (504, or unknown from pollenhalld); 999 and "0200" reach the caller as responses, a control byte in the reason as well. A 101, which no request asks for, also holds the call until its time limit. Status 000 itself does not reach a caller of this code. Cause: http_parser accepts a status of any value with any number of digits and blanks, and any bytes in the reason; a status below 200 counted as interim. Change: a response needs the version, one blank and a status from 100 to 599 of three digits, no control byte in its reason, and no 101. Anything else is malformed, which ends the call at once: 502, or another attempt if it may be repeated. The reader is the one of both data planes, of calls between sidecars and of the client of the platform's store.

--- a/src/include/pollenhall/mesh/http_reader.hpp
+++ b/src/include/pollenhall/mesh/http_reader.hpp
@@ -98,6 +98,9 @@
         return *static_cast<http_reader*>(parser->data);
     }
 
+    // Keeps the first bytes of the status line, which http_parser does not
+    // check.
+    void read_status_line_start(std::string_view data);
     // Adds to the size of the header. Returns false if it exceeds the limit.
     bool add_header_bytes(std::size_t size);
     [[nodiscard]] bool header_is_valid() const;
@@ -106,6 +109,8 @@
     direction direction_;
     http_reader_limits limits_;
     http_parser parser_{};
+    // Only of a response.
+    std::string status_line_start_;
     // Request target or reason phrase.
     std::string target_or_reason_;
     http_fields fields_;
--- a/src/libpollenhall_io/broken_response_test.cpp
+++ b/src/libpollenhall_io/broken_response_test.cpp
@@ -115,3 +115,18 @@
             }
         }
 }
+
+TEST_CASE("a response that is not HTTP/1.1 ends the exchange at once")
+{
+    faulty_upstream upstream;
+    std::string const rest = "\r\nContent-Length: 5\r\n\r\nHello";
+    CHECK(upstream.call("HTTP/1.1 200 OK" + rest).what == outcome::completed);
+    for (std::string const line :
+         {"HTTP/1.1 000 OK", "HTTP/1.1 099 OK", "HTTP/1.1 999 OK",
+          "HTTP/1.1 0200 OK", "HTTP/1.1 200 O\x01K",
+          "HTTP/1.1 101 Switching Protocols"})
+    {
+        CAPTURE(line);
+        CHECK(upstream.call(line + rest).what == outcome::unknown);
+    }
+}
--- a/src/libpollenhall_mesh/http_reader.cpp
+++ b/src/libpollenhall_mesh/http_reader.cpp
@@ -6,6 +6,28 @@
 
 namespace pollenhall::mesh
 {
+namespace
+{
+
+// Bytes of a status line up to the one after the status:
+// "HTTP/1.1 200" and a blank or CR.
+constexpr std::size_t status_line_start_bytes = 13;
+constexpr unsigned switching_protocols = 101;
+
+// Whether a status line begins with the version, a blank and a status of three
+// digits from 100 to 599. http_parser accepts any number of blanks and of
+// digits, and any value.
+bool is_status_line_start(std::string_view line)
+{
+    auto const is_digit = [](char c) { return c >= '0' && c <= '9'; };
+    return line.size() == status_line_start_bytes &&
+           line.substr(0, 7) == "HTTP/1." && is_digit(line[7]) &&
+           line[8] == ' ' && line[9] >= '1' && line[9] <= '5' &&
+           is_digit(line[10]) && is_digit(line[11]) &&
+           (line[12] == ' ' || line[12] == '\r');
+}
+
+} // namespace
 
 http_reader::http_reader(direction message_direction, http_reader_limits limits)
     : direction_(message_direction), limits_(limits)
@@ -19,6 +41,7 @@
                                    ? HTTP_REQUEST
                                    : HTTP_RESPONSE);
     parser_.data = this;
+    status_line_start_.clear();
     target_or_reason_.clear();
     fields_ = {};
     body_.clear();
@@ -59,6 +82,8 @@
     if (data.empty())
         return read_status::need_more;
     started_ = true;
+    if (direction_ == direction::response)
+        read_status_line_start(data);
     auto const consumed =
         http_parser_execute(&parser_, &settings(), data.data(), data.size());
     data.remove_prefix(std::min(consumed, data.size()));
@@ -82,6 +107,18 @@
     return complete_ ? read_status::complete : read_status::malformed;
 }
 
+void http_reader::read_status_line_start(std::string_view data)
+{
+    if (status_line_start_.size() == status_line_start_bytes)
+        return;
+    // http_parser skips empty lines before the status line.
+    if (status_line_start_.empty())
+        data.remove_prefix(
+            std::min(data.find_first_not_of("\r\n"), data.size()));
+    status_line_start_ +=
+        data.substr(0, status_line_start_bytes - status_line_start_.size());
+}
+
 bool http_reader::expects_continue() const
 {
     auto const* expect = fields_.find("Expect");
@@ -139,8 +176,11 @@
             return false;
     if (parser_.http_major != 1)
         return false;
+    // A protocol is switched only if the request asks for it, which none does.
     if (direction_ == direction::response)
-        return true;
+        return is_status_line_start(status_line_start_) &&
+               !has_control(target_or_reason_) &&
+               parser_.status_code != switching_protocols;
     // Rejects repeated framing fields, which make the end of the body
     // ambiguous, a repeated host, CONNECT, and targets that are not in origin
     // form.
--- a/src/libpollenhall_mesh/http_reader_test.cpp
+++ b/src/libpollenhall_mesh/http_reader_test.cpp
@@ -46,6 +46,30 @@
     return outcome;
 }
 
+/// Reads the response that `bytes` begin with, in pieces of `piece_size` bytes,
+/// until the connection ends after them.
+read_status read_response(std::string const& bytes, std::size_t piece_size)
+{
+    http_reader reader(http_reader::direction::response);
+    auto status = read_status::need_more;
+    for (std::size_t at = 0;
+         at < bytes.size() && status == read_status::need_more;
+         at += piece_size)
+    {
+        auto const piece = bytes.substr(at, piece_size);
+        std::string_view rest = piece;
+        status = reader.feed(rest);
+    }
+    return status == read_status::need_more ? reader.finish() : status;
+}
+
+read_status read_response(std::string const& bytes)
+{
+    auto const status = read_response(bytes, bytes.size());
+    CHECK(read_response(bytes, 1) == status);
+    return status;
+}
+
 read_status status_of(std::string const& bytes)
 {
     return read_requests(bytes, bytes.size()).last;
@@ -282,3 +306,68 @@
         CHECK(is_complete == (cut >= complete_from));
     }
 }
+
+TEST_CASE("the status line of a response")
+{
+    std::string const rest = "\r\nContent-Length: 2\r\n\r\nok";
+
+    SUBCASE("may have any reason, or none")
+    {
+        for (std::string const line :
+             {"HTTP/1.1 200 OK", "HTTP/1.1 200 ", "HTTP/1.1 200",
+              "HTTP/1.0 200 OK", "HTTP/1.1 599 \xc3\xa9\tx"})
+        {
+            CAPTURE(line);
+            CHECK(read_response(line + rest) == read_status::complete);
+        }
+    }
+    SUBCASE("has a status of three digits from 100 to 599")
+    {
+        for (std::string const line :
+             {"HTTP/1.1 000 OK", "HTTP/1.1 099 OK", "HTTP/1.1 600 OK",
+              "HTTP/1.1 999 OK", "HTTP/1.1 2 OK", "HTTP/1.1 20 OK",
+              "HTTP/1.1 0200 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 -200 OK",
+              "HTTP/1.1 2x0 OK", "HTTP/1.1 200OK", "HTTP/1.1 ", "HTTP/1.1"})
+        {
+            CAPTURE(line);
+            CHECK(read_response(line + rest) == read_status::malformed);
+        }
+    }
+    SUBCASE("is separated by single blanks")
+    {
+        for (std::string const line : {"HTTP/1.1  200 OK", "HTTP/1.1\t200 OK",
+                                       "HTTP/1.1 200\tOK", " HTTP/1.1 200 OK"})
+        {
+            CAPTURE(line);
+            CHECK(read_response(line + rest) == read_status::malformed);
+        }
+    }
+    SUBCASE("has no control byte in its reason")
+    {
+        for (std::string const& reason :
+             {std::string("O\x01K"), std::string("O\0K", 3),
+              std::string("O\x7fK")})
+        {
+            CAPTURE(reason);
+            CHECK(read_response("HTTP/1.1 200 " + reason + rest) ==
+                  read_status::malformed);
+        }
+    }
+    SUBCASE("names HTTP/1")
+    {
+        for (std::string const line :
+             {"HTTP/2.0 200 OK", "HTTP/0.9 200 OK", "HTTP/11.1 200 OK",
+              "HTTP/1. 200 OK", "http/1.1 200 OK", "ICY 200 OK", "200 OK",
+              "GET / HTTP/1.1"})
+        {
+            CAPTURE(line);
+            CHECK(read_response(line + rest) == read_status::malformed);
+        }
+    }
+    SUBCASE("does not switch protocols, which no request asks for")
+    {
+        CHECK(read_response("HTTP/1.1 101 Switching Protocols\r\n"
+                            "Upgrade: x\r\nConnection: upgrade\r\n\r\n") ==
+              read_status::malformed);
+    }
+}
--- a/src/pollenhall_sidecar/broken_response_test.cpp
+++ b/src/pollenhall_sidecar/broken_response_test.cpp
@@ -15,8 +15,10 @@
 // Larger than what the kernel buffers of a connection, so that the request is
 // still being written when the response arrives.
 constexpr std::size_t long_upload_bytes = std::size_t{16} * 1'024 * 1'024;
-// Well below the time limit of the route.
-constexpr milliseconds max_failure_time{2'000};
+// Time limit of the route. The caller waits longer, so that each call ends.
+constexpr milliseconds route_timeout{2'500};
+// Well below that time limit.
+constexpr milliseconds max_failure_time{1'500};
 
 /// A node whose upstream, or whose only peer, is a faulty server, and a caller.
 struct node_with_faulty_server
@@ -39,7 +41,7 @@
         REQUIRE(node->open().ok());
         node->set_upstream(nodes.first_upstream.registration());
         auto route = make_route("/order/", false);
-        route.timeout = seconds{10};
+        route.timeout = route_timeout;
         node->set_routes(
             std::make_shared<mesh::route_table const>(mesh::configuration{
                 .version = mesh::config_version(1), .routes = {route}}));
@@ -56,6 +58,12 @@
             client_pool_options{});
     }
 
+    /// Waits for the calls that are left open if a check failed. A node is not
+    /// destroyed while calls run.
+    ~node_with_faulty_server() { nodes.run_for(milliseconds{200}); }
+    node_with_faulty_server(node_with_faulty_server const&) = delete;
+    node_with_faulty_server& operator=(node_with_faulty_server const&) = delete;
+
     /// Fields without which a response is not taken for the one to a request.
     [[nodiscard]] std::string fields() const
     {
@@ -164,3 +172,28 @@
             }
         }
 }
+
+TEST_CASE("a response that is not HTTP/1.1 ends the call at once")
+{
+    std::optional<node_with_faulty_server> test;
+    SUBCASE("of an upstream")
+    {
+        test.emplace(node_with_faulty_server::role::upstream);
+    }
+    SUBCASE("of a peer")
+    {
+        test.emplace(node_with_faulty_server::role::peer);
+    }
+    REQUIRE(test);
+    auto const rest = test->fields() + "Connection: close\r\n"
+                                       "Content-Length: 5\r\n\r\nHello";
+    CHECK(test->call("HTTP/1.1 200 OK\r\n" + rest).response.status == 200);
+    for (std::string const line :
+         {"HTTP/1.1 000 OK", "HTTP/1.1 099 OK", "HTTP/1.1 999 OK",
+          "HTTP/1.1 0200 OK", "HTTP/1.1 200 O\x01K",
+          "HTTP/1.1 101 Switching Protocols"})
+    {
+        CAPTURE(line);
+        CHECK(test->call(line + "\r\n" + rest).response.status == 502);
+    }
+}
