A CR, LF or blank at the start of a line does not end or change a header

A line that begins with a blank is passed on as a part of the value before it. Cause: the library http_parser does not check the byte after a CR, takes a LF by itself for the end of a line, and joins continued lines. Blanks and control bytes elsewhere in a name were rejected already and still are. Change: header_line_check reads the header as well and rejects a line that does not end with CR LF, and one that continues the line before (RFC 9112, 2.2 and 5.2 allow it).

--- a/src/include/pollenhall/mesh/http_reader.hpp
+++ b/src/include/pollenhall/mesh/http_reader.hpp
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <pollenhall/mesh/header_line_check.hpp>
 #include <pollenhall/mesh/http_message.hpp>
 
 #include <cstddef>
@@ -109,6 +110,7 @@
     direction direction_;
     http_reader_limits limits_;
     http_parser parser_{};
+    header_line_check header_lines_;
     // Only of a response.
     std::string status_line_start_;
     // Request target or reason phrase.
--- a/src/libpollenhall_io/broken_response_test.cpp
+++ b/src/libpollenhall_io/broken_response_test.cpp
@@ -129,4 +129,16 @@
         CAPTURE(line);
         CHECK(upstream.call(line + rest).what == outcome::unknown);
     }
+    for (std::string const line :
+         {"X Bad: 1", " X-Bad: 1", "\tX-Bad: 1", "X-Bad : 1", "\rX-Bad: 1",
+          "\nX-Bad: 1", "X\x01-Bad: 1", "X-Bad"})
+    {
+        CAPTURE(line);
+        CHECK(upstream.call("HTTP/1.1 200 OK\r\n" + line + rest).what ==
+              outcome::unknown);
+        CHECK(upstream
+                  .call("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n" + line +
+                        "\r\n\r\nHello")
+                  .what == outcome::unknown);
+    }
 }
--- a/src/libpollenhall_mesh/http_reader.cpp
+++ b/src/libpollenhall_mesh/http_reader.cpp
@@ -41,6 +41,7 @@
                                    ? HTTP_REQUEST
                                    : HTTP_RESPONSE);
     parser_.data = this;
+    header_lines_ = {};
     status_line_start_.clear();
     target_or_reason_.clear();
     fields_ = {};
@@ -84,6 +85,8 @@
     started_ = true;
     if (direction_ == direction::response)
         read_status_line_start(data);
+    if (!header_complete_ && !header_lines_.read(data))
+        return read_status::malformed;
     auto const consumed =
         http_parser_execute(&parser_, &settings(), data.data(), data.size());
     data.remove_prefix(std::min(consumed, data.size()));
--- a/src/libpollenhall_mesh/http_reader_test.cpp
+++ b/src/libpollenhall_mesh/http_reader_test.cpp
@@ -371,3 +371,95 @@
               read_status::malformed);
     }
 }
+
+TEST_CASE("a line of a response's head")
+{
+    std::string const status_line = "HTTP/1.1 200 OK\r\n";
+    std::string const length = "Content-Length: 2\r\n";
+    // As the first line, between two others and as the last one.
+    auto const read_with = [&](std::string const& line)
+    {
+        auto const read = [&](std::string const& head)
+        { return read_response(status_line + head + "\r\nok"); };
+        auto const status = read(line + length);
+        CHECK(read("Test-Id: 7\r\n" + line + length) == status);
+        CHECK(read(length + line) == status);
+        return status;
+    };
+
+    SUBCASE("may hold any value without control bytes")
+    {
+        for (std::string const line :
+             {"X-Test: a b\tc\r\n", "X-Test:\r\n", "X-Test: \xc3\xa9 \r\n",
+              "!#$%&'*+-.^_`|~09aZ:x\r\n"})
+        {
+            CAPTURE(line);
+            CHECK(read_with(line) == read_status::complete);
+        }
+    }
+    SUBCASE("has no blank or control byte in its name")
+    {
+        for (char const byte : std::string(" \t\r\n\v\f\0\x01\x1f\x7f", 10))
+            for (std::size_t at = 0; at <= 5; ++at)
+            {
+                auto name = std::string("X-Bad");
+                name.insert(at, 1, byte);
+                CAPTURE(name);
+                CHECK(read_with(name + ": 1\r\n") == read_status::malformed);
+            }
+    }
+    SUBCASE("has no control byte in its value")
+    {
+        for (char const byte : std::string("\r\n\v\f\0\x01\x1f\x7f", 8))
+        {
+            CAPTURE(static_cast<int>(byte));
+            CHECK(read_with(std::string("X-Bad: 1") + byte + "2\r\n") ==
+                  read_status::malformed);
+        }
+    }
+    SUBCASE("does not continue the one before")
+    {
+        for (std::string const line :
+             {"X-Test: 1\r\n 2\r\n", "X-Test: 1\r\n\t2\r\n",
+              "X-Test:\r\n 2\r\n", "X-Test: 1\r\n Content-Length: 1\r\n"})
+        {
+            CAPTURE(line);
+            CHECK(read_with(line) == read_status::malformed);
+        }
+    }
+    SUBCASE("has a name and a colon")
+    {
+        for (std::string const line : {": 1\r\n", "X-Bad\r\n", "X\"Bad: 1\r\n",
+                                       "X(Bad: 1\r\n", "X\xc3\xa9: 1\r\n"})
+        {
+            CAPTURE(line);
+            CHECK(read_with(line) == read_status::malformed);
+        }
+    }
+    SUBCASE("ends with CR and LF")
+    {
+        for (std::string const line : {"X-Test: 1\n", "X-Test: 1\r",
+                                       "X-Test: 1\r\r\n", "X-Test: 1\n\r\n"})
+        {
+            CAPTURE(line);
+            CHECK(read_with(line) == read_status::malformed);
+        }
+        CHECK(read_response("HTTP/1.1 200 OK\n" + length + "\r\nok") ==
+              read_status::malformed);
+        CHECK(read_response("HTTP/1.1 200 O\rK\r\n" + length + "\r\nok") ==
+              read_status::malformed);
+        for (std::string const end : {"\n", "\r", "\n\n", "\r\r"})
+            CHECK(read_response(status_line + length + end + "ok") ==
+                  read_status::malformed);
+    }
+    SUBCASE("of an interim response is checked as well")
+    {
+        for (std::string const line :
+             {"X Bad: 1\r\n", "\rX-Bad: 1\r\n", "\nX-Bad: 1\r\n"})
+        {
+            CAPTURE(line);
+            CHECK(read_response("HTTP/1.1 100 Continue\r\n" + line + "\r\n") ==
+                  read_status::malformed);
+        }
+    }
+}
--- a/src/pollenhall_sidecar/broken_response_test.cpp
+++ b/src/pollenhall_sidecar/broken_response_test.cpp
@@ -196,4 +196,16 @@
         CAPTURE(line);
         CHECK(test->call(line + "\r\n" + rest).response.status == 502);
     }
+    for (std::string const line :
+         {"X Bad: 1", " X-Bad: 1", "\tX-Bad: 1", "X-Bad : 1", "\rX-Bad: 1",
+          "\nX-Bad: 1", "X\x01-Bad: 1", "X-Bad"})
+    {
+        CAPTURE(line);
+        auto const head = "HTTP/1.1 200 OK\r\n";
+        CHECK(test->call(head + line + "\r\n" + rest).response.status == 502);
+        // The line is the last one of the head.
+        auto const fields = rest.substr(0, rest.find("\r\n\r\n") + 2);
+        CHECK(test->call(head + fields + line + "\r\n\r\nHello")
+                  .response.status == 502);
+    }
 }
