A chunk whose end is not CR LF is not read as a body

Seen: a response in chunks whose sizes do not match its data, or whose lines end with other bytes, reaches the caller as a 200 with a body that is not the upstream's: any two bytes after a chunk, and any byte after the CR of its size, are dropped. Cause: http_parser does not check these bytes. Change: header_line_check becomes line_check, which also reads the size of each chunk and the trailer; the reader passes sections and chunks to http_parser one by one and checks the CR LF after each chunk. It applies to requests too.

--- a/src/include/pollenhall/mesh/http_reader.hpp
+++ b/src/include/pollenhall/mesh/http_reader.hpp
@@ -3,10 +3,13 @@
 
 #pragma once
 
-#include <pollenhall/mesh/header_line_check.hpp>
 #include <pollenhall/mesh/http_message.hpp>
+#include <pollenhall/mesh/line_check.hpp>
 
 #include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
 #include <string_view>
 
 #include <http_parser.h>
@@ -92,6 +95,7 @@
     static int on_value(http_parser* parser, char const* at, std::size_t size);
     static int on_headers(http_parser* parser);
     static int on_body(http_parser* parser, char const* at, std::size_t size);
+    static int on_chunk_size(http_parser* parser);
     static int on_complete(http_parser* parser);
     static http_parser_settings const& settings();
     static http_reader& self(http_parser* parser)
@@ -99,6 +103,12 @@
         return *static_cast<http_reader*>(parser->data);
     }
 
+    // Passes bytes of one section, or of one chunk, to the parser and removes
+    // them from `data`. Returns false on an error.
+    bool parse_section(std::string_view& data);
+    // Handles bytes of a chunk that were read. Returns false if the chunk does
+    // not end with CR LF.
+    bool on_chunk_read(std::string_view bytes);
     // Keeps the first bytes of the status line, which http_parser does not
     // check.
     void read_status_line_start(std::string_view data);
@@ -110,7 +120,13 @@
     direction direction_;
     http_reader_limits limits_;
     http_parser parser_{};
-    header_line_check header_lines_;
+    // Set while a section of lines is read.
+    std::optional<line_check> lines_;
+    // Bytes of the current chunk, and of the CR LF after it, that were not read
+    // yet.
+    std::uint64_t chunk_rest_ = 0;
+    // Last two bytes that were read of the current chunk.
+    std::string chunk_end_;
     // Only of a response.
     std::string status_line_start_;
     // Request target or reason phrase.
--- a/src/libpollenhall_io/broken_response_test.cpp
+++ b/src/libpollenhall_io/broken_response_test.cpp
@@ -141,4 +141,15 @@
                         "\r\n\r\nHello")
                   .what == outcome::unknown);
     }
+    for (std::string const body :
+         {"5\r\nHelloXY0\r\n\r\n", "5\r\nHello\n\n0\r\n\r\n",
+          "5\rXHello\r\n0\r\n\r\n"})
+    {
+        CAPTURE(body);
+        CHECK(upstream
+                  .call("HTTP/1.1 200 OK\r\n"
+                        "Transfer-Encoding: chunked\r\n\r\n" +
+                        body)
+                  .what == outcome::unknown);
+    }
 }
--- a/src/libpollenhall_mesh/http_reader.cpp
+++ b/src/libpollenhall_mesh/http_reader.cpp
@@ -27,6 +27,11 @@
            (line[12] == ' ' || line[12] == '\r');
 }
 
+std::string last_bytes(std::string_view text, std::size_t count)
+{
+    return std::string(text.substr(text.size() - std::min(text.size(), count)));
+}
+
 } // namespace
 
 http_reader::http_reader(direction message_direction, http_reader_limits limits)
@@ -41,7 +46,8 @@
                                    ? HTTP_REQUEST
                                    : HTTP_RESPONSE);
     parser_.data = this;
-    header_lines_ = {};
+    lines_.emplace(line_section::header);
+    chunk_rest_ = 0;
     status_line_start_.clear();
     target_or_reason_.clear();
     fields_ = {};
@@ -70,6 +76,7 @@
         made.on_header_value = on_value;
         made.on_headers_complete = on_headers;
         made.on_body = on_body;
+        made.on_chunk_header = on_chunk_size;
         made.on_message_complete = on_complete;
         return made;
     }();
@@ -78,25 +85,52 @@
 
 read_status http_reader::feed(std::string_view& data)
 {
-    if (complete_)
-        return read_status::complete;
-    if (data.empty())
-        return read_status::need_more;
-    started_ = true;
+    started_ = started_ || !data.empty();
     if (direction_ == direction::response)
         read_status_line_start(data);
-    if (!header_complete_ && !header_lines_.read(data))
-        return read_status::malformed;
+    while (!complete_ && !data.empty())
+        if (!parse_section(data))
+            return HTTP_PARSER_ERRNO(&parser_) == HPE_HEADER_OVERFLOW
+                       ? read_status::header_too_large
+                       : failure_;
+    return complete_ ? read_status::complete : read_status::need_more;
+}
+
+bool http_reader::parse_section(std::string_view& data)
+{
+    auto bytes = data;
+    bool const is_chunk = chunk_rest_ > 0;
+    if (lines_)
+    {
+        auto const size = lines_->read(data);
+        if (!size)
+            return false;
+        bytes = data.substr(0, *size);
+        if (lines_->ended())
+            lines_.reset();
+    }
+    else if (is_chunk)
+        bytes = data.substr(0, chunk_rest_);
+    // The callbacks set what follows the section.
     auto const consumed =
-        http_parser_execute(&parser_, &settings(), data.data(), data.size());
+        http_parser_execute(&parser_, &settings(), bytes.data(), bytes.size());
     data.remove_prefix(std::min(consumed, data.size()));
     if (complete_)
-        return read_status::complete;
-    if (HTTP_PARSER_ERRNO(&parser_) != HPE_OK)
-        return HTTP_PARSER_ERRNO(&parser_) == HPE_HEADER_OVERFLOW
-                   ? read_status::header_too_large
-                   : failure_;
-    return read_status::need_more;
+        return true;
+    return HTTP_PARSER_ERRNO(&parser_) == HPE_OK &&
+           (!is_chunk || on_chunk_read(bytes));
+}
+
+bool http_reader::on_chunk_read(std::string_view bytes)
+{
+    constexpr std::size_t line_end_bytes = 2;
+    chunk_rest_ -= bytes.size();
+    chunk_end_ += last_bytes(bytes, line_end_bytes);
+    chunk_end_ = last_bytes(chunk_end_, line_end_bytes);
+    if (chunk_rest_ > 0)
+        return true;
+    lines_.emplace(line_section::chunk_size);
+    return chunk_end_ == "\r\n";
 }
 
 read_status http_reader::finish()
@@ -238,6 +272,8 @@
     if (!reader.header_is_valid())
         return -1;
     reader.header_complete_ = true;
+    if ((parser->flags & F_CHUNKED) != 0)
+        reader.lines_.emplace(line_section::chunk_size);
     // Protocol upgrades are not supported. Resetting the flag makes the parser
     // read the body.
     parser->upgrade = 0;
@@ -265,6 +301,17 @@
     return 0;
 }
 
+int http_reader::on_chunk_size(http_parser* parser)
+{
+    auto& reader = self(parser);
+    // This does not overflow: http_parser rejects the largest sizes.
+    if (parser->content_length > 0)
+        reader.chunk_rest_ = parser->content_length + 2;
+    else
+        reader.lines_.emplace(line_section::trailer);
+    return 0;
+}
+
 int http_reader::on_complete(http_parser* parser)
 {
     auto& reader = self(parser);
--- a/src/libpollenhall_mesh/http_reader_test.cpp
+++ b/src/libpollenhall_mesh/http_reader_test.cpp
@@ -463,3 +463,42 @@
         }
     }
 }
+
+TEST_CASE("a response in chunks")
+{
+    std::string const head =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+    SUBCASE("may have extensions and blanks after the sizes")
+    {
+        CHECK(
+            read_response(head + "2;a=b\r\nok\r\n002 \r\nok\r\n0;c\r\n\r\n") ==
+            read_status::complete);
+    }
+    SUBCASE("ends each chunk and each size with CR LF")
+    {
+        for (std::string const body :
+             {"2\r\nokXY0\r\n\r\n", "2\r\nok\n\n0\r\n\r\n",
+              "2\r\nok\r\r0\r\n\r\n", "2\r\nok\n0\r\n\r\n",
+              "2\r\nok\r\n0\r\r\r\n", "2\rXok\r\n0\r\n\r\n",
+              "2\nok\r\n0\r\n\r\n", "2;a\nb\r\nok\r\n0\r\n\r\n",
+              "2;a\rb\r\nok\r\n0\r\n\r\n", "2\r\nok\r\n0\rX\r\n",
+              "2\r\nokay\r\n0\r\n\r\n"})
+        {
+            CAPTURE(body);
+            CHECK(read_response(head + body) == read_status::malformed);
+        }
+    }
+    SUBCASE("has sizes of hexadecimal digits")
+    {
+        for (std::string const body :
+             {"\r\nok\r\n0\r\n\r\n", "+2\r\nok\r\n0\r\n\r\n",
+              "-2\r\nok\r\n0\r\n\r\n", "0x2\r\nok\r\n0\r\n\r\n",
+              " 2\r\nok\r\n0\r\n\r\n", "2g\r\nok\r\n0\r\n\r\n",
+              "10000000000000002\r\nok\r\n0\r\n\r\n"})
+        {
+            CAPTURE(body);
+            CHECK(read_response(head + body) == read_status::malformed);
+        }
+    }
+}
--- a/src/pollenhall_sidecar/broken_response_test.cpp
+++ b/src/pollenhall_sidecar/broken_response_test.cpp
@@ -208,4 +208,15 @@
         CHECK(test->call(head + fields + line + "\r\n\r\nHello")
                   .response.status == 502);
     }
+    for (std::string const body :
+         {"5\r\nHelloXY0\r\n\r\n", "5\r\nHello\n\n0\r\n\r\n",
+          "5\rXHello\r\n0\r\n\r\n"})
+    {
+        CAPTURE(body);
+        CHECK(test->call("HTTP/1.1 200 OK\r\n" + test->fields() +
+                         "Connection: close\r\n"
+                         "Transfer-Encoding: chunked\r\n\r\n" +
+                         body)
+                  .response.status == 502);
+    }
 }
