Trailer fields are checked, and are no part of the header

Seen: a field in the trailer of a response whose name holds a blank reaches the caller. A valid field of a trailer counted as one of the header: with the field of a rejection there, a call that has run was reported as not run (503), which may be sent again. Cause: the header was checked before the trailer was read, and both went into the same list. Change: the trailer has a list of its own, is checked in the same way and dropped, as RFC 9110, 6.5.1 has it. It applies to requests too.

--- a/src/include/pollenhall/mesh/http_reader.hpp
+++ b/src/include/pollenhall/mesh/http_reader.hpp
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include <http_parser.h>
 
@@ -112,6 +113,11 @@
     // Keeps the first bytes of the status line, which http_parser does not
     // check.
     void read_status_line_start(std::string_view data);
+    // Fields of the section that is being read.
+    std::vector<http_field>& current_fields()
+    {
+        return (header_complete_ ? trailer_ : fields_).all();
+    }
     // Adds to the size of the header. Returns false if it exceeds the limit.
     bool add_header_bytes(std::size_t size);
     [[nodiscard]] bool header_is_valid() const;
@@ -132,6 +138,9 @@
     // Request target or reason phrase.
     std::string target_or_reason_;
     http_fields fields_;
+    // Fields after the last chunk. They are checked and dropped: in the header,
+    // they could change what the message means after its body was read.
+    http_fields trailer_;
     std::string body_;
     std::size_t header_size_ = 0;
     std::size_t announced_body_size_ = 0;
--- a/src/libpollenhall_io/broken_response_test.cpp
+++ b/src/libpollenhall_io/broken_response_test.cpp
@@ -143,7 +143,8 @@
     }
     for (std::string const body :
          {"5\r\nHelloXY0\r\n\r\n", "5\r\nHello\n\n0\r\n\r\n",
-          "5\rXHello\r\n0\r\n\r\n"})
+          "5\rXHello\r\n0\r\n\r\n", "5\r\nHello\r\n0\r\nX Bad: 1\r\n\r\n",
+          "5\r\nHello\r\n0\r\n X-Bad: 1\r\n\r\n"})
     {
         CAPTURE(body);
         CHECK(upstream
--- a/src/libpollenhall_mesh/http_reader.cpp
+++ b/src/libpollenhall_mesh/http_reader.cpp
@@ -27,6 +27,28 @@
            (line[12] == ' ' || line[12] == '\r');
 }
 
+bool has_control(std::string_view text)
+{
+    return std::any_of(text.begin(), text.end(),
+                       [](char c)
+                       {
+                           auto const byte = static_cast<unsigned char>(c);
+                           return (byte < 0x20 && c != '\t') || byte == 0x7F;
+                       });
+}
+
+bool are_valid(http_fields const& fields)
+{
+    return std::all_of(fields.all().begin(), fields.all().end(),
+                       [](http_field const& field)
+                       {
+                           return !field.name.empty() &&
+                                  !has_control(field.value) &&
+                                  field.name.find_first_of(" \t") ==
+                                      std::string::npos;
+                       });
+}
+
 std::string last_bytes(std::string_view text, std::size_t count)
 {
     return std::string(text.substr(text.size() - std::min(text.size(), count)));
@@ -51,6 +73,7 @@
     status_line_start_.clear();
     target_or_reason_.clear();
     fields_ = {};
+    trailer_ = {};
     body_.clear();
     header_size_ = 0;
     announced_body_size_ = 0;
@@ -197,21 +220,7 @@
 
 bool http_reader::header_is_valid() const
 {
-    auto const has_control = [](std::string const& text)
-    {
-        return std::any_of(text.begin(), text.end(),
-                           [](char c)
-                           {
-                               auto const byte = static_cast<unsigned char>(c);
-                               return (byte < 0x20 && c != '\t') ||
-                                      byte == 0x7F;
-                           });
-    };
-    for (auto const& field : fields_.all())
-        if (field.name.empty() || has_control(field.value) ||
-            field.name.find_first_of(" \t") != std::string::npos)
-            return false;
-    if (parser_.http_major != 1)
+    if (!are_valid(fields_) || parser_.http_major != 1)
         return false;
     // A protocol is switched only if the request asks for it, which none does.
     if (direction_ == direction::response)
@@ -248,7 +257,7 @@
     auto& reader = self(parser);
     if (!reader.add_header_bytes(size))
         return 1;
-    auto& fields = reader.fields_.all();
+    auto& fields = reader.current_fields();
     if (reader.in_value_ || fields.empty())
         fields.emplace_back();
     reader.in_value_ = false;
@@ -259,10 +268,11 @@
 int http_reader::on_value(http_parser* parser, char const* at, std::size_t size)
 {
     auto& reader = self(parser);
-    if (!reader.add_header_bytes(size) || reader.fields_.all().empty())
+    auto& fields = reader.current_fields();
+    if (!reader.add_header_bytes(size) || fields.empty())
         return 1;
     reader.in_value_ = true;
-    reader.fields_.all().back().value.append(at, size);
+    fields.back().value.append(at, size);
     return 0;
 }
 
@@ -315,6 +325,8 @@
 int http_reader::on_complete(http_parser* parser)
 {
     auto& reader = self(parser);
+    if (!are_valid(reader.trailer_))
+        return 1;
     reader.keep_alive_ = http_should_keep_alive(parser) != 0;
     reader.complete_ = true;
     // Stops the parser, so that the next call of feed() gets the bytes of the
--- a/src/libpollenhall_mesh/http_reader_test.cpp
+++ b/src/libpollenhall_mesh/http_reader_test.cpp
@@ -502,3 +502,61 @@
         }
     }
 }
+
+TEST_CASE("the trailer of a message")
+{
+    std::string const chunks = "Transfer-Encoding: chunked\r\n\r\n"
+                               "2\r\nok\r\n0\r\n";
+    std::string const head = "HTTP/1.1 200 OK\r\nTest-Id: 7\r\n" + chunks;
+
+    SUBCASE("is not a part of its header")
+    {
+        std::string const trailer = "Test-Not-Run: 1\r\nTest-Id: 8\r\n\r\n";
+        auto const response_bytes = head + trailer;
+        std::string_view rest = response_bytes;
+        http_reader responses(http_reader::direction::response);
+        REQUIRE(responses.feed(rest) == read_status::complete);
+        auto const response = responses.take_response();
+        CHECK(response.body == "ok");
+        CHECK(response.fields.find("Test-Not-Run") == nullptr);
+        CHECK(response.fields.count("Test-Id") == 1);
+
+        auto const request = read_requests(
+            "POST / HTTP/1.1\r\nHost: x\r\n" + chunks + trailer, 3);
+        REQUIRE(request.requests.size() == 1);
+        CHECK(request.requests[0].body == "ok");
+        CHECK(request.requests[0].fields.find("Test-Not-Run") == nullptr);
+    }
+    SUBCASE("has no blank or control byte in the name of a field")
+    {
+        for (char const byte : std::string(" \t\r\n\v\f\0\x01\x1f\x7f", 10))
+            for (std::size_t at = 0; at <= 5; ++at)
+            {
+                auto name = std::string("X-Bad");
+                name.insert(at, 1, byte);
+                CAPTURE(name);
+                auto const line = name + ": 1\r\n";
+                CHECK(read_response(head + line + "\r\n") ==
+                      read_status::malformed);
+                CHECK(read_response(head + "X-Test: 1\r\n" + line + "\r\n") ==
+                      read_status::malformed);
+            }
+    }
+    SUBCASE("has no control byte in the value of a field")
+    {
+        for (char const byte : std::string("\r\n\v\f\0\x01\x1f\x7f", 8))
+        {
+            CAPTURE(static_cast<int>(byte));
+            CHECK(read_response(head + "X-Bad: 1" + byte + "2\r\n\r\n") ==
+                  read_status::malformed);
+        }
+    }
+    SUBCASE("is limited like a header")
+    {
+        http_reader reader(http_reader::direction::response,
+                           {.header_bytes = 200});
+        auto const bytes = head + "X-Long: " + std::string(200, 'a');
+        std::string_view rest = bytes;
+        CHECK(reader.feed(rest) == read_status::header_too_large);
+    }
+}
--- a/src/pollenhall_sidecar/broken_response_test.cpp
+++ b/src/pollenhall_sidecar/broken_response_test.cpp
@@ -210,7 +210,8 @@
     }
     for (std::string const body :
          {"5\r\nHelloXY0\r\n\r\n", "5\r\nHello\n\n0\r\n\r\n",
-          "5\rXHello\r\n0\r\n\r\n"})
+          "5\rXHello\r\n0\r\n\r\n", "5\r\nHello\r\n0\r\nX Bad: 1\r\n\r\n",
+          "5\r\nHello\r\n0\r\n X-Bad: 1\r\n\r\n"})
     {
         CAPTURE(body);
         CHECK(test->call("HTTP/1.1 200 OK\r\n" + test->fields() +
@@ -220,3 +221,28 @@
                   .response.status == 502);
     }
 }
+
+TEST_CASE("the trailer of a response does not say how a call ended")
+{
+    std::optional<node_with_faulty_server> test;
+    SUBCASE("of an upstream")
+    {
+        test.emplace(node_with_faulty_server::role::upstream);
+    }
+    SUBCASE("of a peer")
+    {
+        test.emplace(node_with_faulty_server::role::peer);
+    }
+    REQUIRE(test);
+    // A call that has run would be reported as rejected, and sent again.
+    auto const result = test->call("HTTP/1.1 200 OK\r\n" + test->fields() +
+                                   "Connection: close\r\n"
+                                   "Transfer-Encoding: chunked\r\n\r\n"
+                                   "5\r\nHello\r\n0\r\n"
+                                   "Test-Not-Run: 1\r\n"
+                                   "Content-Encoding: gzip\r\n\r\n");
+    CHECK(result.response.status == 200);
+    CHECK(result.response.body == "Hello");
+    CHECK(result.response.fields.find("Test-Not-Run") == nullptr);
+    CHECK(test->server.requests == 1);
+}
