A response whose body is in an unknown transfer coding is not passed on

Seen: the body of a response with a transfer coding other than chunks, such as gzip, reaches the caller in that coding, but without the field that names it, as a complete 200 or as its chunks unread. Cause: http_parser reads an unknown coding up to the end of the connection, and only the last coding of a list counts; Transfer-Encoding is not forwarded. Change: the only codings are chunked and identity, in one field. It applies to requests too, where "gzip, chunked" was accepted.

--- a/src/include/pollenhall/mesh/http_reader.hpp
+++ b/src/include/pollenhall/mesh/http_reader.hpp
@@ -121,6 +121,9 @@
     // Adds to the size of the header. Returns false if it exceeds the limit.
     bool add_header_bytes(std::size_t size);
     [[nodiscard]] bool header_is_valid() const;
+    // Whether the body has no transfer coding other than chunks. Others would
+    // remain in the body, as the field that names them is not forwarded.
+    [[nodiscard]] bool coding_is_known() const;
     void reset();
 
     direction direction_;
--- a/src/libpollenhall_io/broken_response_test.cpp
+++ b/src/libpollenhall_io/broken_response_test.cpp
@@ -154,3 +154,19 @@
                   .what == outcome::unknown);
     }
 }
+
+TEST_CASE(
+    "a response with a transfer coding that is not removed is not complete")
+{
+    faulty_upstream upstream;
+    upstream.server().end = connection_end::orderly;
+    for (std::string const coding :
+         {"gzip", "gzip, chunked", "chunked, gzip", "xchunked"})
+    {
+        CAPTURE(coding);
+        CHECK(upstream
+                  .call("HTTP/1.1 200 OK\r\nTransfer-Encoding: " + coding +
+                        "\r\n\r\n5\r\nHello\r\n0\r\n\r\n")
+                  .what == outcome::unknown);
+    }
+}
--- a/src/libpollenhall_mesh/http_reader.cpp
+++ b/src/libpollenhall_mesh/http_reader.cpp
@@ -220,7 +220,7 @@
 
 bool http_reader::header_is_valid() const
 {
-    if (!are_valid(fields_) || parser_.http_major != 1)
+    if (!are_valid(fields_) || parser_.http_major != 1 || !coding_is_known())
         return false;
     // A protocol is switched only if the request asks for it, which none does.
     if (direction_ == direction::response)
@@ -230,11 +230,20 @@
     // Rejects repeated framing fields, which make the end of the body
     // ambiguous, a repeated host, CONNECT, and targets that are not in origin
     // form.
-    return fields_.count("Content-Length") <= 1 &&
-           fields_.count("Transfer-Encoding") <= 1 &&
-           fields_.count("Host") <= 1 && parser_.method != HTTP_CONNECT &&
-           !target_or_reason_.empty() && target_or_reason_.front() == '/' &&
-           !has_control(target_or_reason_);
+    return fields_.count("Content-Length") <= 1 && fields_.count("Host") <= 1 &&
+           parser_.method != HTTP_CONNECT && !target_or_reason_.empty() &&
+           target_or_reason_.front() == '/' && !has_control(target_or_reason_);
+}
+
+bool http_reader::coding_is_known() const
+{
+    auto const* coding = fields_.find("Transfer-Encoding");
+    if (coding == nullptr)
+        return true;
+    if (fields_.count("Transfer-Encoding") > 1 ||
+        coding->find(',') != std::string::npos)
+        return false;
+    return (parser_.flags & F_CHUNKED) != 0 || equal_names(*coding, "identity");
 }
 
 int http_reader::on_url(http_parser* parser, char const* at, std::size_t size)
--- a/src/libpollenhall_mesh/http_reader_test.cpp
+++ b/src/libpollenhall_mesh/http_reader_test.cpp
@@ -560,3 +560,53 @@
         CHECK(reader.feed(rest) == read_status::header_too_large);
     }
 }
+
+TEST_CASE("the framing of a response")
+{
+    std::string const status_line = "HTTP/1.1 200 OK\r\n";
+    std::string const chunks = "\r\n2\r\nok\r\n0\r\n\r\n";
+
+    SUBCASE("may be in chunks, or end with the connection")
+    {
+        for (std::string const value :
+             {"chunked", "Chunked", "chunked ", "\tchunked"})
+            CHECK(read_response(status_line + "Transfer-Encoding:" + value +
+                                "\r\n" + chunks) == read_status::complete);
+        CHECK(read_response(status_line +
+                            "Transfer-Encoding: identity\r\n\r\nok") ==
+              read_status::complete);
+    }
+    SUBCASE("has no coding that is not removed from the body")
+    {
+        for (std::string const value :
+             {"gzip", "xchunked", "chunkedx", "chunked;x", "", "gzip, chunked",
+              "chunked, gzip", "chunked, chunked", "identity, chunked",
+              "gzip\r\nTransfer-Encoding: chunked",
+              "chunked\r\nTransfer-Encoding: identity"})
+        {
+            CAPTURE(value);
+            CHECK(read_response(status_line + "Transfer-Encoding: " + value +
+                                "\r\n" + chunks) == read_status::malformed);
+        }
+        CHECK(status_of("POST / HTTP/1.1\r\nHost: x\r\n"
+                        "Transfer-Encoding: gzip, chunked\r\n" +
+                        chunks) == read_status::malformed);
+    }
+    SUBCASE("has one length in digits, and no coding beside it")
+    {
+        for (std::string const value :
+             {"", "+2", "-2", "2x", "0x2", "2 2", "2, 2", "2,",
+              "99999999999999999999", "2\r\nContent-Length: 2",
+              "2\r\nContent-Length: 3", "2\r\nTransfer-Encoding: chunked",
+              "2\r\nTransfer-Encoding: identity"})
+        {
+            CAPTURE(value);
+            CHECK(read_response(status_line + "Content-Length: " + value +
+                                "\r\n" + chunks) == read_status::malformed);
+        }
+        CHECK(read_response(status_line +
+                            "Transfer-Encoding: chunked\r\n"
+                            "Content-Length: 2\r\n" +
+                            chunks) == read_status::malformed);
+    }
+}
--- a/src/pollenhall_sidecar/broken_response_test.cpp
+++ b/src/pollenhall_sidecar/broken_response_test.cpp
@@ -222,6 +222,30 @@
     }
 }
 
+TEST_CASE("a response with a transfer coding that is not removed")
+{
+    std::optional<node_with_faulty_server> test;
+    SUBCASE("by an upstream ends the call at once")
+    {
+        test.emplace(node_with_faulty_server::role::upstream);
+    }
+    SUBCASE("by a peer ends the call at once")
+    {
+        test.emplace(node_with_faulty_server::role::peer);
+    }
+    REQUIRE(test);
+    test->server.end = connection_end::orderly;
+    for (std::string const coding :
+         {"gzip", "gzip, chunked", "chunked, gzip", "xchunked"})
+    {
+        CAPTURE(coding);
+        CHECK(test->call("HTTP/1.1 200 OK\r\n" + test->fields() +
+                         "Transfer-Encoding: " + coding +
+                         "\r\n\r\n5\r\nHello\r\n0\r\n\r\n")
+                  .response.status == 502);
+    }
+}
+
 TEST_CASE("the trailer of a response does not say how a call ended")
 {
     std::optional<node_with_faulty_server> test;
