A response without a body is not waited for beyond its header

Seen: a 304 whose header has a Content-Length, which is valid, or a 204 that announces a body, holds the call until its time limit: 504, or unknown from pollenhalld. Cause: http_parser reads the announced body for any status. Change: a response with status 1xx, 204 or 304 ends with its header (RFC 9112, 6.3). Unless it is a 304, the connection is not used again if a body was announced, as it may follow. An announced length no longer counts against the limit on bodies where there is no body, as for HEAD.

--- a/src/include/pollenhall/mesh/http_message.hpp
+++ b/src/include/pollenhall/mesh/http_message.hpp
@@ -69,6 +69,10 @@
     bool ended_by_close = false;
 };
 
+/// Whether a response with `status` may have a body. One without a body ends
+/// after its header, whatever the header says (RFC 9112, section 6.3).
+bool allows_body(int status);
+
 /// Returns the reason phrase of RFC 9110 for `status`, or "Unknown" if it has
 /// none.
 std::string_view reason_phrase(int status);
--- a/src/include/pollenhall/mesh/http_reader.hpp
+++ b/src/include/pollenhall/mesh/http_reader.hpp
@@ -152,6 +152,8 @@
     bool header_complete_ = false;
     bool complete_ = false;
     bool no_body_ = false;
+    // Whether bytes may follow that are no part of this response.
+    bool body_may_follow_ = false;
     bool keep_alive_ = true;
     bool ended_by_close_ = false;
     // Result if the parser fails.
--- a/src/libpollenhall_io/broken_response_test.cpp
+++ b/src/libpollenhall_io/broken_response_test.cpp
@@ -170,3 +170,20 @@
                   .what == outcome::unknown);
     }
 }
+
+TEST_CASE("a response with a status that allows no body is complete at once")
+{
+    faulty_upstream upstream;
+    for (int const status : {304, 204})
+        for (std::string const framing :
+             {"", "Content-Length: 5\r\n", "Transfer-Encoding: chunked\r\n"})
+        {
+            CAPTURE(status);
+            CAPTURE(framing);
+            auto const result =
+                upstream.call("HTTP/1.1 " + std::to_string(status) +
+                              " Status\r\n" + framing + "\r\n");
+            CHECK(result.what == outcome::completed);
+            CHECK(result.status == status);
+        }
+}
--- a/src/libpollenhall_mesh/http_message.cpp
+++ b/src/libpollenhall_mesh/http_message.cpp
@@ -41,11 +41,6 @@
     }
 }
 
-bool has_no_body(int status)
-{
-    return status < 200 || status == 204 || status == 304;
-}
-
 } // namespace
 
 bool equal_names(std::string_view left, std::string_view right)
@@ -128,6 +123,11 @@
                   });
 }
 
+bool allows_body(int status)
+{
+    return status >= 200 && status != 204 && status != 304;
+}
+
 std::string_view reason_phrase(int status)
 {
     return http_status_str(static_cast<http_status>(status));
@@ -164,11 +164,11 @@
     out += "\r\n";
     append_fields(out, response.fields);
     out += extra;
-    if (!has_no_body(response.status))
+    if (allows_body(response.status))
         out +=
             "Content-Length: " + std::to_string(response.body.size()) + "\r\n";
     out += "\r\n";
-    if (method != "HEAD" && !has_no_body(response.status))
+    if (method != "HEAD" && allows_body(response.status))
         out += response.body;
     return out;
 }
--- a/src/libpollenhall_mesh/http_reader.cpp
+++ b/src/libpollenhall_mesh/http_reader.cpp
@@ -13,6 +13,7 @@
 // "HTTP/1.1 200" and a blank or CR.
 constexpr std::size_t status_line_start_bytes = 13;
 constexpr unsigned switching_protocols = 101;
+constexpr unsigned not_modified = 304;
 
 // Whether a status line begins with the version, a blank and a status of three
 // digits from 100 to 599. http_parser accepts any number of blanks and of
@@ -82,6 +83,7 @@
     header_complete_ = false;
     complete_ = false;
     no_body_ = false;
+    body_may_follow_ = false;
     keep_alive_ = true;
     ended_by_close_ = false;
     failure_ = read_status::malformed;
@@ -291,21 +293,34 @@
     if (!reader.header_is_valid())
         return -1;
     reader.header_complete_ = true;
-    if ((parser->flags & F_CHUNKED) != 0)
-        reader.lines_.emplace(line_section::chunk_size);
     // Protocol upgrades are not supported. Resetting the flag makes the parser
     // read the body.
     parser->upgrade = 0;
+    bool const is_chunked = (parser->flags & F_CHUNKED) != 0;
     bool const has_length = parser->content_length != ~0ULL;
+    if (reader.direction_ == direction::response &&
+        !allows_body(parser->status_code))
+    {
+        // The body that a header announces against the rules may follow. After
+        // a 304, it tells of the body of another response.
+        reader.body_may_follow_ =
+            parser->status_code != not_modified &&
+            (is_chunked || (has_length && parser->content_length > 0));
+        return 1;
+    }
+    if (reader.no_body_)
+        return 1;
     if (has_length && parser->content_length > reader.limits_.body_bytes)
     {
         reader.failure_ = read_status::body_too_large;
         return -1;
     }
-    if (has_length && !reader.no_body_)
+    if (has_length)
         reader.announced_body_size_ =
             static_cast<std::size_t>(parser->content_length);
-    return reader.no_body_ ? 1 : 0;
+    if (is_chunked)
+        reader.lines_.emplace(line_section::chunk_size);
+    return 0;
 }
 
 int http_reader::on_body(http_parser* parser, char const* at, std::size_t size)
@@ -336,7 +351,8 @@
     auto& reader = self(parser);
     if (!are_valid(reader.trailer_))
         return 1;
-    reader.keep_alive_ = http_should_keep_alive(parser) != 0;
+    reader.keep_alive_ =
+        http_should_keep_alive(parser) != 0 && !reader.body_may_follow_;
     reader.complete_ = true;
     // Stops the parser, so that the next call of feed() gets the bytes of the
     // next message.
--- a/src/libpollenhall_mesh/http_reader_test.cpp
+++ b/src/libpollenhall_mesh/http_reader_test.cpp
@@ -609,4 +609,30 @@
                             "Content-Length: 2\r\n" +
                             chunks) == read_status::malformed);
     }
+    SUBCASE("of a status without a body is not waited for")
+    {
+        for (std::string const status : {"304", "204", "103"})
+            for (std::string const field :
+                 {"", "Content-Length: 0\r\n", "Content-Length: 2\r\n",
+                  "Transfer-Encoding: chunked\r\n"})
+            {
+                CAPTURE(status);
+                CAPTURE(field);
+                auto const bytes =
+                    "HTTP/1.1 " + status + " Status\r\n" + field + "\r\nnext";
+                std::string_view rest = bytes;
+                http_reader reader(http_reader::direction::response);
+                CHECK(reader.feed(rest) == read_status::complete);
+                CHECK(rest == "next");
+                auto const response = reader.take_response();
+                CHECK(std::to_string(response.status) == status);
+                CHECK(response.body.empty());
+                // A body might follow, except after 304, where the field tells
+                // of the response to another request.
+                bool const announces_body = field.find('2') != field.npos ||
+                                            field.find('T') != field.npos;
+                CHECK(response.keep_alive ==
+                      (status == "304" || !announces_body));
+            }
+    }
 }
--- a/src/pollenhall_sidecar/broken_response_test.cpp
+++ b/src/pollenhall_sidecar/broken_response_test.cpp
@@ -246,6 +246,31 @@
     }
 }
 
+TEST_CASE("a response with a status that allows no body")
+{
+    std::optional<node_with_faulty_server> test;
+    SUBCASE("by an upstream is delivered at once")
+    {
+        test.emplace(node_with_faulty_server::role::upstream);
+    }
+    SUBCASE("by a peer is delivered at once")
+    {
+        test.emplace(node_with_faulty_server::role::peer);
+    }
+    REQUIRE(test);
+    for (std::string const status : {"304", "204"})
+        for (std::string const framing :
+             {"", "Content-Length: 5\r\n", "Transfer-Encoding: chunked\r\n"})
+        {
+            CAPTURE(status);
+            CAPTURE(framing);
+            auto const result = test->call(
+                "HTTP/1.1 " + status + " Status\r\n" + test->fields() +
+                "Connection: close\r\n" + framing + "\r\n");
+            CHECK(std::to_string(result.response.status) == status);
+        }
+}
+
 TEST_CASE("the trailer of a response does not say how a call ended")
 {
     std::optional<node_with_faulty_server> test;
