pollenhalld: a connection is not reused while an upload is unfinished on it

Seen: an upstream answers a long upload before it has read it and keeps the connection; the next call is written into the rest of that upload and ends at its deadline. Cause: a response that arrives stops the writing of the request, and the connection was kept if the response was complete. Change: a connection is kept only if the request was sent whole. Evidence: the new test fails before in 3 checks (1 request seen where 2 were made, unknown after 10 s) and passes now. The sidecar handles the case already; its test is new and passed before.

--- a/src/libpollenhall_io/broken_response_test.cpp
+++ b/src/libpollenhall_io/broken_response_test.cpp
@@ -20,6 +20,7 @@
 // Larger than what the kernel buffers of a connection, so that the request is
 // still being written when the response arrives.
 constexpr std::size_t long_upload_bytes = std::size_t{16} * 1'024 * 1'024;
+constexpr std::size_t max_idle_connections = 4;
 constexpr milliseconds call_timeout{10'000};
 // Well below the deadline of a call.
 constexpr milliseconds max_failure_time{2'000};
@@ -28,6 +29,9 @@
 class faulty_upstream
 {
 public:
+    /// Whether the connection of a call may carry the next one.
+    bool keeps_connections = false;
+
     testing::faulty_server& server() { return server_; }
 
     /// Makes a call to which the upstream responds with `response`.
@@ -36,14 +40,15 @@
         server_.response = std::move(response);
         context_.restart();
         std::thread server_thread([this] { context_.run(); });
-        upstream_client client(4);
+        if (!keeps_connections)
+            client_.emplace(max_idle_connections);
         forwarded_call call;
         call.method = "POST";
         call.body = std::make_shared<std::string const>(upload_bytes, 'u');
         auto const began = mono_now();
         call.deadline = began + call_timeout;
         exchange_handle handle;
-        auto const result = client.exchange(
+        auto const result = client_->exchange(
             {.address = "127.0.0.1", .port = server_.address().port()}, call,
             {}, handle);
         CHECK(mono_now() - began < max_failure_time);
@@ -55,6 +60,7 @@
 private:
     asio::io_context context_;
     testing::faulty_server server_{context_};
+    std::optional<upstream_client> client_{max_idle_connections};
 };
 
 } // namespace
@@ -187,3 +193,20 @@
             CHECK(result.status == status);
         }
 }
+
+TEST_CASE("a response that arrives during an upload")
+{
+    faulty_upstream upstream;
+    upstream.keeps_connections = true;
+    std::string const response =
+        "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nHello";
+    CHECK(upstream.call(response, long_upload_bytes).what ==
+          outcome::completed);
+
+    // Otherwise the next request would be read as the rest of the upload.
+    SUBCASE("is the last one on its connection")
+    {
+        CHECK(upstream.call(response).what == outcome::completed);
+        CHECK(upstream.server().requests == 2);
+    }
+}
--- a/src/libpollenhall_io/upstream_connection.cpp
+++ b/src/libpollenhall_io/upstream_connection.cpp
@@ -83,6 +83,7 @@
                                          mesh::http_response& response)
 {
     reusable_ = false;
+    unsent_ = bytes.size();
     if (auto const end = write(bytes, deadline); end != request_end::answered)
         return end;
     return read(is_head, deadline, response);
@@ -97,6 +98,7 @@
         auto const size =
             socket_.write_some(asio::buffer(bytes.data(), bytes.size()), error);
         bytes.remove_prefix(size);
+        unsent_ = bytes.size();
         if (error == asio::error::would_block)
         {
             // An upstream may respond before it has read the whole request.
@@ -168,7 +170,7 @@
 bool upstream_connection::take(mesh::http_response& response)
 {
     response = reader_.take_response();
-    reusable_ = response.keep_alive && !response.ended_by_close;
+    reusable_ = response.keep_alive && !response.ended_by_close && unsent_ == 0;
     return response.status >= 200;
 }
 
--- a/src/libpollenhall_io/upstream_connection.hpp
+++ b/src/libpollenhall_io/upstream_connection.hpp
@@ -42,9 +42,9 @@
     /// `deadline`.
     request_end request(std::string_view bytes, bool is_head,
                         mono_time deadline, mesh::http_response& response);
-    /// Whether another request may be sent: the last response was complete, and
-    /// neither the end of the connection nor further bytes have arrived since.
-    /// Such bytes belong to no request.
+    /// Whether another request may be sent: the last one was sent whole, its
+    /// response was complete, and neither the end of the connection nor further
+    /// bytes have arrived since. Such bytes belong to no request.
     [[nodiscard]] bool is_reusable();
     /// Ends a request that another thread is waiting for. Thread-safe.
     void abort();
@@ -64,6 +64,8 @@
     asio::ip::tcp::socket socket_;
     mesh::http_reader reader_;
     bool reusable_ = false;
+    // Bytes of the request that were not sent yet.
+    std::size_t unsent_ = 0;
     // Whether writing the request failed because the connection broke before
     // the upstream had ended its side.
     bool is_reset_ = false;
--- a/src/pollenhall_sidecar/broken_response_test.cpp
+++ b/src/pollenhall_sidecar/broken_response_test.cpp
@@ -295,3 +295,23 @@
     CHECK(result.response.fields.find("Test-Not-Run") == nullptr);
     CHECK(test->server.requests == 1);
 }
+
+TEST_CASE("a response that arrives during an upload")
+{
+    std::optional<node_with_faulty_server> test;
+    SUBCASE("by an upstream is the last one on its connection")
+    {
+        test.emplace(node_with_faulty_server::role::upstream);
+    }
+    SUBCASE("by a peer is the last one on its connection")
+    {
+        test.emplace(node_with_faulty_server::role::peer);
+    }
+    REQUIRE(test);
+    auto const response = "HTTP/1.1 200 OK\r\n" + test->fields() +
+                          "Content-Length: 5\r\n\r\nHello";
+    // Otherwise the next request would be read as the rest of the upload.
+    CHECK(test->call(response, long_upload_bytes).response.status == 200);
+    CHECK(test->call(response).response.status == 200);
+    CHECK(test->server.requests == 2);
+}
