pollenhalld: a broken response of the store does not end the process

Seen: a response of the store that is JSON but not an object, or has a field of another type, ends the process with an uncaught exception in a transaction, a lease call or a watch; "{}" counts as an empty store, a refused transaction or lease 0; the body of a watch is read whatever its status. Cause: only the reading of keys caught the exceptions of the JSON library; the status of a stream was not looked at, nor whether a response has the header that the store always sends. Change: all parsing goes through one function that turns exceptions into InternalError, a header is required, and a watch with another status than 200 is an error. A malformed watch is logged (store_response_malformed). It holds already: a status of 000 or 500, and a body that ends early in any framing, are errors at once for the calls that are no watch.

--- a/src/libpollenhall_io/etcd_store.cpp
+++ b/src/libpollenhall_io/etcd_store.cpp
@@ -45,6 +45,8 @@
 // The gateway writes 64-bit numbers as strings and omits zeros.
 std::int64_t int64_at(json const& object, char const* name)
 {
+    if (!object.is_object())
+        throw std::runtime_error(std::string(name) + " is not in an object");
     auto const found = object.find(name);
     if (found == object.end())
         return 0;
@@ -53,11 +55,10 @@
     return found->get<std::int64_t>();
 }
 
+// Every response of the store has a header.
 store_revision revision_of(json const& response)
 {
-    auto const header = response.find("header");
-    return store_revision(
-        header == response.end() ? 0 : int64_at(*header, "revision"));
+    return store_revision(int64_at(response.at("header"), "revision"));
 }
 
 store_record parse_record(json const& item)
@@ -67,17 +68,45 @@
             .modified = store_revision(int64_at(item, "mod_revision"))};
 }
 
-std::vector<std::string> changed_keys(json const& result)
+/// Returns what `parse` returns. Its exceptions, which tell that a response is
+/// malformed, become InternalError.
+template <class Parse>
+auto parse_response(Parse&& parse) -> absl::StatusOr<decltype(parse())>
 {
+    try
+    {
+        return parse();
+    }
+    catch (std::exception const& error)
+    {
+        return absl::InternalError(std::string("store: ") + error.what());
+    }
+}
+
+/// One message of a watch.
+struct watch_message
+{
+    bool cancelled = false;
     std::vector<std::string> keys;
+    store_revision revision;
+};
+
+watch_message parse_watch_message(std::string const& line)
+{
+    auto const result = json::parse(line).value("result", json::object());
+    watch_message message{.cancelled = result.value("canceled", false),
+                          .keys = {},
+                          .revision = {}};
     for (auto const& event : result.value("events", json::array()))
     {
         std::string key;
         auto const kv = event.value("kv", json::object());
         if (absl::Base64Unescape(kv.value("key", ""), &key))
-            keys.push_back(std::move(key));
+            message.keys.push_back(std::move(key));
     }
-    return keys;
+    if (!message.keys.empty())
+        message.revision = revision_of(result);
+    return message;
 }
 
 absl::Status status_from_error(httplib::Error error)
@@ -127,6 +156,8 @@
         auto response = json::parse(result->body, nullptr, false);
         if (response.is_discarded())
             return absl::UnknownError("store: response is not valid JSON");
+        if (!response.is_object())
+            return absl::InternalError("store: response is not a JSON object");
         return response;
     }
 
@@ -144,6 +175,12 @@
         request.path = path;
         request.body = body.dump();
         request.set_header("Content-Type", std::string(json_type));
+        std::optional<int> status;
+        request.response_handler = [&](httplib::Response const& response)
+        {
+            status = response.status;
+            return status == http_ok;
+        };
         request.content_receiver = [&](char const* data, std::size_t size,
                                        std::uint64_t, std::uint64_t) {
             return !interrupted_ && on_data({data, size});
@@ -151,6 +188,8 @@
         auto const result = client.send(request);
         if (!result && result.error() != httplib::Error::Canceled)
             return status_from_error(result.error());
+        if (status && *status != http_ok)
+            return status_from_http(*status, {});
         return absl::OkStatus();
     }
 
@@ -219,17 +258,14 @@
                          {"range_end", encode_base64(end_of_prefix(prefix))}});
     if (!response.ok())
         return response.status();
-    try
-    {
-        store_view view{.revision = revision_of(*response), .records = {}};
-        for (auto const& item : response->value("kvs", json::array()))
-            view.records.push_back(parse_record(item));
-        return view;
-    }
-    catch (std::exception const& error)
-    {
-        return absl::InternalError(std::string("store: ") + error.what());
-    }
+    return parse_response(
+        [&]
+        {
+            store_view view{.revision = revision_of(*response), .records = {}};
+            for (auto const& item : response->value("kvs", json::array()))
+                view.records.push_back(parse_record(item));
+            return view;
+        });
 }
 
 absl::StatusOr<commit_result>
@@ -261,8 +297,13 @@
         "/v3/kv/txn", {{"compare", compare}, {"success", success}});
     if (!response.ok())
         return response.status();
-    return commit_result{.succeeded = response->value("succeeded", false),
-                         .revision = revision_of(*response)};
+    return parse_response(
+        [&]
+        {
+            return commit_result{.succeeded =
+                                     response->value("succeeded", false),
+                                 .revision = revision_of(*response)};
+        });
 }
 
 absl::StatusOr<lease_id> etcd_store::grant_lease(seconds time_to_live)
@@ -271,7 +312,11 @@
         "/v3/lease/grant", {{"TTL", std::to_string(time_to_live.count())}});
     if (!response.ok())
         return response.status();
-    return lease_id(int64_at(*response, "ID"));
+    auto const lease =
+        parse_response([&] { return lease_id(int64_at(*response, "ID")); });
+    if (lease.ok() && lease->value() == 0)
+        return absl::InternalError("store: response has no lease");
+    return lease;
 }
 
 absl::Status etcd_store::keep_alive(lease_id lease)
@@ -280,8 +325,12 @@
         "/v3/lease/keepalive", {{"ID", std::to_string(lease.value())}});
     if (!response.ok())
         return response.status();
-    auto const result = response->value("result", json::object());
-    if (int64_at(result, "TTL") <= 0)
+    auto const time_to_live = parse_response(
+        [&]
+        { return int64_at(response->value("result", json::object()), "TTL"); });
+    if (!time_to_live.ok())
+        return time_to_live.status();
+    if (*time_to_live <= 0)
         return absl::NotFoundError("lease has expired");
     return absl::OkStatus();
 }
@@ -297,27 +346,28 @@
     // The response is a stream of JSON objects, one per line. It arrives in
     // chunks that need not end with a line.
     std::string buffered;
+    absl::Status malformed;
     auto const on_data = [&](std::string_view data)
     {
         buffered += data;
         for (auto end = buffered.find('\n'); end != std::string::npos;
              end = buffered.find('\n'))
         {
-            auto const item =
-                json::parse(buffered.substr(0, end), nullptr, false);
+            auto const message = parse_response(
+                [&] { return parse_watch_message(buffered.substr(0, end)); });
             buffered.erase(0, end + 1);
-            if (item.is_discarded())
-                return false;
-            auto const result = item.value("result", json::object());
-            if (result.value("canceled", false))
+            malformed = message.status();
+            if (!message.ok() || message->cancelled)
                 return false;
-            auto const keys = changed_keys(result);
-            if (!keys.empty() && !on_change(keys, revision_of(result)))
+            if (!message->keys.empty() &&
+                !on_change(message->keys, message->revision))
                 return false;
         }
         return true;
     };
-    return implementation_->stream("/v3/watch", body, idle_timeout, on_data);
+    auto const streamed =
+        implementation_->stream("/v3/watch", body, idle_timeout, on_data);
+    return malformed.ok() ? streamed : malformed;
 }
 
 } // namespace pollenhall
--- a/src/pollenhalld/store_agent.cpp
+++ b/src/pollenhalld/store_agent.cpp
@@ -115,11 +115,15 @@
     reachable_ = true;
     consecutive_failures_ = 0;
     auto const started = mono_now();
-    static_cast<void>(watch_store_.watch(
+    auto const watched = watch_store_.watch(
         spaces_prefix(prefix_), store_revision(revision->value() + 1),
         watch_idle_timeout,
         [this](std::vector<std::string> const& keys, store_revision)
-        { return read_changed(keys) && !stopping_; }));
+        { return read_changed(keys) && !stopping_; });
+    // A watch also ends when nothing changes for some time.
+    if (absl::IsInternal(watched))
+        log_event("store_response_malformed", log_level::warning)
+            .add("reason", std::string(watched.message()));
     // If the store ends watches immediately, for whatever reason, the next
     // attempt is delayed.
     if (mono_now() < started + min_watch_duration)
