pollenhalld: a broken answer of another node is not passed on

Seen: an answer in a frame with status 0, without a known outcome, or with a header field whose name holds a blank or a control byte counts as a complete response; the caller of the other node gets it so. Cause: the codec took every outcome below the first for a completed one, and any status and field as they were. Change: such an answer ends its call at once with an unknown outcome, is counted with the refused frames and logged (peer_answer_refused). The connection stays open for other calls. The rule for header fields is the one of the HTTP reader, now in http_message.

--- a/src/include/pollenhall/io/wire_codec.hpp
+++ b/src/include/pollenhall/io/wire_codec.hpp
@@ -53,7 +53,9 @@
 absl::StatusOr<forwarded_call> from_wire(wire::call_request&& request,
                                          mono_time now);
 wire::call_answer to_wire(call_result const& result, correlation_id id);
-call_result from_wire(wire::call_answer&& answer);
+/// Returns InvalidArgument if the answer has an unknown outcome, a status that
+/// is not one of a response, or an invalid header field.
+absl::StatusOr<call_result> from_wire(wire::call_answer&& answer);
 wire::space_push to_wire(space_update const& update);
 space_update from_wire(wire::space_push const& push);
 std::vector<wire::board_row> to_wire(board const& counts);
--- a/src/include/pollenhall/mesh/http_message.hpp
+++ b/src/include/pollenhall/mesh/http_message.hpp
@@ -12,6 +12,13 @@
 /// Compares two header names or tokens, ignoring the case of ASCII letters.
 bool equal_names(std::string_view left, std::string_view right);
 
+/// Whether a header field has a name of token characters, and no control byte
+/// but tabs in its value (RFC 9110, sections 5.1 and 5.5).
+bool is_valid_field(std::string_view name, std::string_view value);
+
+/// Whether `text` has a control byte other than a tab.
+bool has_control(std::string_view text);
+
 /// One header field.
 struct http_field
 {
--- a/src/libpollenhall_io/peer_connection.cpp
+++ b/src/libpollenhall_io/peer_connection.cpp
@@ -165,7 +165,17 @@
     {
         last_use_ = mono_now();
         auto const id = correlation_id(frame->answer.call_id);
-        complete_call(id, from_wire(std::move(frame->answer)));
+        auto result = from_wire(std::move(frame->answer));
+        if (!result.ok())
+        {
+            ++counters_->frames_refused;
+            log_event("peer_answer_refused", log_level::warning)
+                .add("peer", peer.value())
+                .add("reason", std::string(result.status().message()));
+            result = make_unknown_result();
+            result->from_peer = true;
+        }
+        complete_call(id, *std::move(result));
     }
     else if (frame->__isset.beat)
     {
--- a/src/libpollenhall_io/wire_codec.cpp
+++ b/src/libpollenhall_io/wire_codec.cpp
@@ -2,6 +2,7 @@
 // prefix; datagrams have none.
 
 #include <pollenhall/io/wire_codec.hpp>
+#include <pollenhall/mesh/http_message.hpp>
 #include <pollenhall/version.hpp>
 
 #include <algorithm>
@@ -345,13 +346,23 @@
     return answer;
 }
 
-call_result from_wire(wire::call_answer&& answer)
+absl::StatusOr<call_result> from_wire(wire::call_answer&& answer)
 {
+    constexpr int min_status = 200;
+    constexpr int max_status = 599;
     call_result result;
     result.from_peer = true;
-    result.what = static_cast<outcome>(std::clamp(
-        static_cast<int>(answer.outcome), static_cast<int>(outcome::completed),
-        static_cast<int>(outcome::unknown)));
+    result.what = static_cast<outcome>(answer.outcome);
+    if (result.what < outcome::completed || result.what > outcome::unknown)
+        return absl::InvalidArgumentError("answer has an unknown outcome");
+    if (result.what == outcome::completed &&
+        (answer.status < min_status || answer.status > max_status))
+        return absl::InvalidArgumentError("answer has the status " +
+                                          std::to_string(answer.status));
+    for (auto const& field : answer.headers)
+        if (!mesh::is_valid_field(field.name, field.value))
+            return absl::InvalidArgumentError(
+                "answer has an invalid header field");
     result.status = answer.status;
     result.headers = from_wire(std::move(answer.headers));
     result.body = std::move(answer.body);
--- a/src/libpollenhall_io/wire_codec_test.cpp
+++ b/src/libpollenhall_io/wire_codec_test.cpp
@@ -80,6 +80,79 @@
         }));
 }
 
+TEST_CASE("decoding the answer of a peer")
+{
+    call_result valid;
+    valid.what = outcome::completed;
+    valid.status = 200;
+    valid.headers = {{.name = "X-Test", .value = "a b\t\xff"}};
+    valid.body = "Hello";
+    auto const decode = [](call_result const& result, auto&& change)
+    {
+        auto answer = to_wire(result, correlation_id(9));
+        change(answer);
+        return from_wire(std::move(answer));
+    };
+    auto const decode_result = [&](call_result const& result)
+    { return decode(result, [](wire::call_answer&) {}); };
+
+    SUBCASE("preserves it")
+    {
+        for (int const status : {200, 204, 404, 500, 599})
+        {
+            valid.status = status;
+            auto const read = decode_result(valid);
+            REQUIRE(read.ok());
+            CHECK(read->what == outcome::completed);
+            CHECK(read->status == status);
+            CHECK(read->headers.at(0).value == valid.headers[0].value);
+            CHECK(read->body == "Hello");
+            CHECK(read->from_peer);
+        }
+        auto const refused = decode_result(make_refusal(refusal::shed));
+        REQUIRE(refused.ok());
+        CHECK(refused->reason == refusal::shed);
+        CHECK(decode_result(make_unknown_result()).ok());
+    }
+    SUBCASE("rejects one without a valid status or outcome")
+    {
+        for (int const status : {-1, 0, 99, 100, 199, 600, 999})
+        {
+            CAPTURE(status);
+            valid.status = status;
+            CHECK_FALSE(decode_result(valid).ok());
+        }
+        valid.status = 200;
+        for (int const code : {-1, 0, 4, 99})
+        {
+            CAPTURE(code);
+            CHECK_FALSE(decode(valid,
+                               [&](wire::call_answer& answer) {
+                                   answer.outcome =
+                                       static_cast<wire::outcome_code::type>(
+                                           code);
+                               })
+                            .ok());
+        }
+    }
+    SUBCASE("rejects one with an invalid field")
+    {
+        for (std::string const name :
+             {"", "X Bad", " X-Bad", "X-Bad\r", "X\tBad", "X:Bad", "X\x01"})
+        {
+            CAPTURE(name);
+            valid.headers[0] = {.name = name, .value = "1"};
+            CHECK_FALSE(decode_result(valid).ok());
+        }
+        for (std::string const value : {"a\r\nX: 1", "a\nb", "\x01", "\x7f"})
+        {
+            CAPTURE(value);
+            valid.headers[0] = {.name = "X-Test", .value = value};
+            CHECK_FALSE(decode_result(valid).ok());
+        }
+    }
+}
+
 TEST_CASE("decoding a malformed frame")
 {
     auto const bytes = encode_call(make_call("body"));
--- a/src/libpollenhall_mesh/http_message.cpp
+++ b/src/libpollenhall_mesh/http_message.cpp
@@ -50,6 +50,29 @@
                       [](char a, char b) { return lower(a) == lower(b); });
 }
 
+bool has_control(std::string_view text)
+{
+    return std::any_of(text.begin(), text.end(),
+                       [](char c)
+                       {
+                           auto const byte = static_cast<unsigned char>(c);
+                           return (byte < 0x20 && c != '\t') || byte == 0x7F;
+                       });
+}
+
+bool is_valid_field(std::string_view name, std::string_view value)
+{
+    constexpr std::string_view marks{"!#$%&'*+-.^_`|~"};
+    auto const is_token_character = [&](char c)
+    {
+        return (lower(c) >= 'a' && lower(c) <= 'z') || (c >= '0' && c <= '9') ||
+               marks.find(c) != marks.npos;
+    };
+    return !name.empty() &&
+           std::all_of(name.begin(), name.end(), is_token_character) &&
+           !has_control(value);
+}
+
 std::string const* http_fields::find(std::string_view name) const
 {
     for (auto const& field : fields_)
--- a/src/libpollenhall_mesh/http_reader.cpp
+++ b/src/libpollenhall_mesh/http_reader.cpp
@@ -28,26 +28,11 @@
            (line[12] == ' ' || line[12] == '\r');
 }
 
-bool has_control(std::string_view text)
-{
-    return std::any_of(text.begin(), text.end(),
-                       [](char c)
-                       {
-                           auto const byte = static_cast<unsigned char>(c);
-                           return (byte < 0x20 && c != '\t') || byte == 0x7F;
-                       });
-}
-
 bool are_valid(http_fields const& fields)
 {
     return std::all_of(fields.all().begin(), fields.all().end(),
                        [](http_field const& field)
-                       {
-                           return !field.name.empty() &&
-                                  !has_control(field.value) &&
-                                  field.name.find_first_of(" \t") ==
-                                      std::string::npos;
-                       });
+                       { return is_valid_field(field.name, field.value); });
 }
 
 std::string last_bytes(std::string_view text, std::size_t count)
