pollenhalld: an interim response does not stop an upload

Seen: an upstream sends 100 Continue while a long request is being written, as it does for a request with Expect; the rest is never written, so the call ends only at its deadline, as unknown. Cause: any byte that arrives ended the writing of the request. Change: the request is written and the response read in one loop, whatever comes first. What a failed write means for the end of the stream is as before.

--- a/src/libpollenhall_io/broken_response_test.cpp
+++ b/src/libpollenhall_io/broken_response_test.cpp
@@ -200,13 +200,23 @@
     upstream.keeps_connections = true;
     std::string const response =
         "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nHello";
-    CHECK(upstream.call(response, long_upload_bytes).what ==
-          outcome::completed);
 
     // Otherwise the next request would be read as the rest of the upload.
     SUBCASE("is the last one on its connection")
     {
+        CHECK(upstream.call(response, long_upload_bytes).what ==
+              outcome::completed);
         CHECK(upstream.call(response).what == outcome::completed);
         CHECK(upstream.server().requests == 2);
     }
+    SUBCASE("lets the upload go on if it is an interim one")
+    {
+        // The server has read a part of the request before.
+        upstream.server().later_response = response;
+        upstream.server().later_response_after = long_upload_bytes - 8'192;
+        auto const result =
+            upstream.call("HTTP/1.1 100 Continue\r\n\r\n", long_upload_bytes);
+        CHECK(result.what == outcome::completed);
+        CHECK(result.body == "Hello");
+    }
 }
--- a/src/libpollenhall_io/faulty_server.hpp
+++ b/src/libpollenhall_io/faulty_server.hpp
@@ -90,6 +90,9 @@
     }
 
     std::string response;
+    // If not empty, sent once this many bytes of the request were read.
+    std::string later_response;
+    std::size_t later_response_after = 0;
     connection_end end = connection_end::none;
     // Time between the response and the end of the connection.
     std::chrono::milliseconds end_delay{0};
@@ -107,6 +110,9 @@
         std::error_code ignored; // the client may have left
         asio::write(*client, asio::buffer(response), ignored);
         open_.push_back(client);
+        bytes_drained_ = 0;
+        if (!later_response.empty())
+            return drain(client);
         if (end_delay == std::chrono::milliseconds{0})
             return end_connection(client);
         timer_.expires_after(end_delay);
@@ -144,14 +150,21 @@
     {
         client->async_read_some(
             asio::buffer(drained_),
-            [this, client](std::error_code error, std::size_t)
+            [this, client](std::error_code error, std::size_t size)
             {
-                if (!error)
-                    drain(client);
+                if (error)
+                    return;
+                bool const was_due = bytes_drained_ >= later_response_after;
+                bytes_drained_ += size;
+                std::error_code ignored; // the client may have left
+                if (!was_due && bytes_drained_ >= later_response_after)
+                    asio::write(*client, asio::buffer(later_response), ignored);
+                drain(client);
             });
     }
 
     std::array<char, 65'536> drained_{};
+    std::size_t bytes_drained_ = 0;
     asio::steady_timer timer_;
     std::vector<raw_server::connection> open_;
     raw_server server_;
--- a/src/libpollenhall_io/upstream_connection.cpp
+++ b/src/libpollenhall_io/upstream_connection.cpp
@@ -83,94 +83,85 @@
                                          mesh::http_response& response)
 {
     reusable_ = false;
-    unsent_ = bytes.size();
-    if (auto const end = write(bytes, deadline); end != request_end::answered)
-        return end;
-    return read(is_head, deadline, response);
-}
-
-request_end upstream_connection::write(std::string_view bytes,
-                                       mono_time deadline)
-{
-    while (!bytes.empty())
-    {
-        asio::error_code error;
-        auto const size =
-            socket_.write_some(asio::buffer(bytes.data(), bytes.size()), error);
-        bytes.remove_prefix(size);
-        unsent_ = bytes.size();
-        if (error == asio::error::would_block)
-        {
-            // An upstream may respond before it has read the whole request.
-            if (!wait(POLLOUT | POLLIN, deadline))
-                return request_end::timed_out;
-            pollfd item{
-                .fd = socket_.native_handle(), .events = POLLIN, .revents = 0};
-            if (poll(&item, 1, 0) > 0)
-                return request_end::answered;
-        }
-        else if (error)
-        {
-            // EPIPE means that the upstream had ended its side before it reset
-            // the connection.
-            is_reset_ = error != asio::error::broken_pipe;
-            // The response, if any, was received before the connection broke.
-            return request_end::answered;
-        }
-    }
-    return request_end::answered;
-}
-
-request_end upstream_connection::read(bool is_head, mono_time deadline,
-                                      mesh::http_response& response)
-{
-    std::array<char, read_size> buffer{};
-    int interim_responses = 0;
+    unsent_ = bytes;
+    interim_responses_ = 0;
     if (is_head)
         reader_.expect_no_body();
+    std::array<char, read_size> buffer{};
+    bool is_writing = true;
     for (;;)
     {
-        if (!wait(POLLIN, deadline))
+        is_writing = is_writing && write_some();
+        // An upstream may respond before it has read the whole request.
+        if (!wait(is_writing ? POLLIN | POLLOUT : POLLIN, deadline))
             return request_end::timed_out;
         asio::error_code error;
         auto const size = socket_.read_some(asio::buffer(buffer), error);
         if (error == asio::error::would_block)
             continue;
-        // The kernel reports a reset once. If the write got it, the read sees
-        // the end of the stream instead.
-        if (error == asio::error::eof && !is_reset_ &&
-            reader_.finish() == mesh::read_status::complete && take(response))
-            return request_end::answered;
-        if (error)
+        auto const end = error ? read_end(error, response)
+                               : read({buffer.data(), size}, is_head, response);
+        if (end)
+            return *end;
+    }
+}
+
+bool upstream_connection::write_some()
+{
+    asio::error_code error;
+    unsent_.remove_prefix(socket_.write_some(
+        asio::buffer(unsent_.data(), unsent_.size()), error));
+    if (!error || error == asio::error::would_block)
+        return !unsent_.empty();
+    // EPIPE means that the upstream had ended its side before it reset the
+    // connection. The response, if any, was received before.
+    is_reset_ = error != asio::error::broken_pipe;
+    return false;
+}
+
+request_end upstream_connection::read_end(asio::error_code error,
+                                          mesh::http_response& response)
+{
+    // The kernel reports a reset once. If the write got it, the read sees the
+    // end of the stream instead.
+    if (error == asio::error::eof && !is_reset_ &&
+        reader_.finish() == mesh::read_status::complete && take(response))
+        return request_end::answered;
+    return request_end::broken;
+}
+
+std::optional<request_end>
+upstream_connection::read(std::string_view data, bool is_head,
+                          mesh::http_response& response)
+{
+    while (!data.empty())
+    {
+        auto const status = reader_.feed(data);
+        if (status == mesh::read_status::need_more)
+            break;
+        if (status == mesh::read_status::malformed)
             return request_end::broken;
-        std::string_view data(buffer.data(), size);
-        while (!data.empty())
+        if (status != mesh::read_status::complete)
+            return request_end::too_large;
+        if (take(response))
         {
-            auto const status = reader_.feed(data);
-            if (status == mesh::read_status::need_more)
-                break;
-            if (status == mesh::read_status::malformed)
-                return request_end::broken;
-            if (status != mesh::read_status::complete)
-                return request_end::too_large;
-            if (take(response))
-            {
-                // Bytes after the response belong to no request.
-                reusable_ = reusable_ && data.empty();
-                return request_end::answered;
-            }
-            if (++interim_responses > max_interim_responses)
-                return request_end::too_large;
-            if (is_head)
-                reader_.expect_no_body();
+            // Bytes after the response belong to no request.
+            reusable_ = reusable_ && data.empty();
+            return request_end::answered;
         }
+        if (++interim_responses_ > max_interim_responses)
+            return request_end::too_large;
+        if (is_head)
+            reader_.expect_no_body();
     }
+    return std::nullopt;
 }
 
 bool upstream_connection::take(mesh::http_response& response)
 {
     response = reader_.take_response();
-    reusable_ = response.keep_alive && !response.ended_by_close && unsent_ == 0;
+    reusable_ =
+        response.keep_alive && !response.ended_by_close && unsent_.empty();
     return response.status >= 200;
 }
 
--- a/src/libpollenhall_io/upstream_connection.hpp
+++ b/src/libpollenhall_io/upstream_connection.hpp
@@ -53,9 +53,14 @@
     // Waits until the socket is ready for `events` of poll(); returns false at
     // the deadline.
     bool wait(short events, mono_time deadline);
-    request_end write(std::string_view bytes, mono_time deadline);
-    request_end read(bool is_head, mono_time deadline,
-                     mesh::http_response& response);
+    // Writes what the connection accepts at once. Returns whether more is to be
+    // written; not after an error.
+    bool write_some();
+    // Handles the end of the connection.
+    request_end read_end(asio::error_code error, mesh::http_response& response);
+    // Reads received bytes; returns nothing if the response is incomplete.
+    std::optional<request_end> read(std::string_view data, bool is_head,
+                                    mesh::http_response& response);
     // Takes a complete message. Returns whether it is the response, and not an
     // interim one.
     bool take(mesh::http_response& response);
@@ -64,8 +69,9 @@
     asio::ip::tcp::socket socket_;
     mesh::http_reader reader_;
     bool reusable_ = false;
-    // Bytes of the request that were not sent yet.
-    std::size_t unsent_ = 0;
+    // Part of the request that was not sent yet.
+    std::string_view unsent_;
+    int interim_responses_ = 0;
     // Whether writing the request failed because the connection broke before
     // the upstream had ended its side.
     bool is_reset_ = false;
