pollenhalld: a cancelled call has no complete response without a length

Seen: if a call is cancelled while a response without a length arrives, the part so far counts as a complete response, and the call as one that its upstream completed. Cause: a cancellation shuts the socket down, and the read then sees the end of the stream. Change: after a cancellation, a response that ends with its connection is not complete. Evidence: the new test fails before (completed) and passes now. Nobody receives the result of a cancelled call; it cleared requests that are suspected of a crash.

--- a/src/libpollenhall_io/broken_response_test.cpp
+++ b/src/libpollenhall_io/broken_response_test.cpp
@@ -220,3 +220,36 @@
         CHECK(result.body == "Hello");
     }
 }
+
+TEST_CASE("a response without a length of a call that is cancelled")
+{
+    asio::io_context context;
+    testing::faulty_server server(context);
+    server.response = "HTTP/1.1 200 OK\r\n\r\nHel";
+    std::thread server_thread([&] { context.run(); });
+    forwarded_call call;
+    call.method = "GET";
+    call.deadline = mono_now() + call_timeout;
+    exchange_handle handle;
+    std::thread canceller(
+        [&]
+        {
+            // Time for the response to arrive.
+            std::this_thread::sleep_for(milliseconds{100});
+            handle.cancel();
+        });
+    upstream_client client(max_idle_connections);
+    auto const result = client.exchange(
+        {.address = "127.0.0.1", .port = server.address().port()}, call, {},
+        handle);
+    canceller.join();
+    context.stop();
+    server_thread.join();
+
+    // The end of the stream is the client's own.
+    SUBCASE("is not complete")
+    {
+        CHECK(result.result.what == outcome::unknown);
+        CHECK_FALSE(result.broken);
+    }
+}
--- a/src/libpollenhall_io/upstream_client.cpp
+++ b/src/libpollenhall_io/upstream_client.cpp
@@ -211,7 +211,10 @@
         std::lock_guard const lock(handle.mutex_);
         handle.connection_.reset();
     }
-    if (end == request_end::answered)
+    // After a cancellation, the end of the stream is not the upstream's.
+    bool const is_whole = end == request_end::answered &&
+                          !(response.ended_by_close && handle.is_cancelled());
+    if (is_whole)
     {
         if (!handle.is_cancelled())
             release_connection(endpoint, std::move(connection));
