Tests of broken responses pass lint

String concatenations in loops become absl::StrCat, escaped JSON becomes raw literals. No check changed.

--- a/src/libpollenhall_io/broken_response_test.cpp
+++ b/src/libpollenhall_io/broken_response_test.cpp
@@ -7,6 +7,7 @@
 #include <pollenhall/io/clocks.hpp>
 #include <pollenhall/io/upstream_client.hpp>
 
+#include <absl/strings/str_cat.h>
 #include <doctest/doctest.h>
 
 #include <thread>
@@ -140,8 +141,8 @@
           "\nX-Bad: 1", "X\x01-Bad: 1", "X-Bad"})
     {
         CAPTURE(line);
-        CHECK(upstream.call("HTTP/1.1 200 OK\r\n" + line + rest).what ==
-              outcome::unknown);
+        CHECK(upstream.call(absl::StrCat("HTTP/1.1 200 OK\r\n", line, rest))
+                  .what == outcome::unknown);
         CHECK(upstream
                   .call("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n" + line +
                         "\r\n\r\nHello")
--- a/src/libpollenhall_io/etcd_store.cpp
+++ b/src/libpollenhall_io/etcd_store.cpp
@@ -312,7 +312,7 @@
         "/v3/lease/grant", {{"TTL", std::to_string(time_to_live.count())}});
     if (!response.ok())
         return response.status();
-    auto const lease =
+    auto lease =
         parse_response([&] { return lease_id(int64_at(*response, "ID")); });
     if (lease.ok() && lease->value() == 0)
         return absl::InternalError("store: response has no lease");
--- a/src/libpollenhall_io/etcd_store_test.cpp
+++ b/src/libpollenhall_io/etcd_store_test.cpp
@@ -7,6 +7,7 @@
 #include <pollenhall/io/clocks.hpp>
 #include <pollenhall/io/etcd_store.hpp>
 
+#include <absl/strings/str_cat.h>
 #include <doctest/doctest.h>
 
 #include <thread>
@@ -114,9 +115,10 @@
         {
             store.server.end = end;
             for (auto const& response :
-                 {head + "\r\n" + cut,
-                  head + "Content-Length: 99\r\n\r\n" + cut,
-                  head + "Transfer-Encoding: chunked\r\n\r\n40\r\n" + cut,
+                 {absl::StrCat(head, "\r\n", cut),
+                  absl::StrCat(head, "Content-Length: 99\r\n\r\n", cut),
+                  absl::StrCat(head, "Transfer-Encoding: chunked\r\n\r\n40\r\n",
+                               cut),
                   head})
                 for (auto const& result : store.statuses_with(response))
                     CHECK_FALSE(result.ok());
@@ -124,13 +126,12 @@
     }
     SUBCASE("rejects a body that is not the one of a response")
     {
-        for (std::string const body :
-             {"", "{}", "[]", "null", "\"text\"", "7", "{\"header\":7}",
-              "{\"header\":{\"revision\":\"x\"}}",
-              "{\"header\":{\"revision\":\"7\"},\"kvs\":7,\"succeeded\":7,"
-              "\"ID\":\"x\",\"result\":7}",
-              "{\"header\":{\"revision\":\"7\"},\"kvs\":[7],"
-              "\"succeeded\":\"x\",\"ID\":[],\"result\":[]}"})
+        for (
+            std::string const body :
+            {R"()", R"({})", R"([])", R"(null)", R"("text")", R"(7)",
+             R"({"header":7})", R"({"header":{"revision":"x"}})",
+             R"({"header":{"revision":"7"},"kvs":7,"succeeded":7,"ID":"x","result":7})",
+             R"({"header":{"revision":"7"},"kvs":[7],"succeeded":"x","ID":[],"result":[]})"})
         {
             CAPTURE(body);
             for (auto const& result :
@@ -163,18 +164,21 @@
         CHECK(changes == 1);
         for (std::string const status : {"000 OK", "500 Failed"})
         {
-            CHECK_FALSE(watch("HTTP/1.1 " + status + "\r\n\r\n" + event).ok());
+            CHECK_FALSE(
+                watch(absl::StrCat("HTTP/1.1 ", status, "\r\n\r\n", event))
+                    .ok());
             CHECK(changes == 0);
         }
         for (std::string const line :
-             {"7", "[]", "{\"result\":7}", "{\"result\":{\"events\":7}}",
-              "{\"result\":{\"events\":[7]}}",
-              "{\"result\":{\"events\":[{\"kv\":{\"key\":7}}]}}",
-              "{\"result\":{\"canceled\":7}}", "{"})
+             {R"(7)", R"([])", R"({"result":7})", R"({"result":{"events":7}})",
+              R"({"result":{"events":[7]}})",
+              R"({"result":{"events":[{"kv":{"key":7}}]}})",
+              R"({"result":{"canceled":7}})", R"({)"})
         {
             CAPTURE(line);
-            CHECK_FALSE(
-                watch("HTTP/1.1 200 OK\r\n\r\n" + line + "\n" + event).ok());
+            CHECK_FALSE(watch(absl::StrCat("HTTP/1.1 200 OK\r\n\r\n", line,
+                                           "\n", event))
+                            .ok());
             CHECK(changes == 0);
         }
     }
--- a/src/libpollenhall_mesh/http_reader_test.cpp
+++ b/src/libpollenhall_mesh/http_reader_test.cpp
@@ -4,6 +4,7 @@
 
 #include <pollenhall/mesh/http_reader.hpp>
 
+#include <absl/strings/str_cat.h>
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
@@ -349,7 +350,7 @@
               std::string("O\x7fK")})
         {
             CAPTURE(reason);
-            CHECK(read_response("HTTP/1.1 200 " + reason + rest) ==
+            CHECK(read_response(absl::StrCat("HTTP/1.1 200 ", reason, rest)) ==
                   read_status::malformed);
         }
     }
@@ -449,7 +450,7 @@
         CHECK(read_response("HTTP/1.1 200 O\rK\r\n" + length + "\r\nok") ==
               read_status::malformed);
         for (std::string const end : {"\n", "\r", "\n\n", "\r\r"})
-            CHECK(read_response(status_line + length + end + "ok") ==
+            CHECK(read_response(absl::StrCat(status_line, length, end, "ok")) ==
                   read_status::malformed);
     }
     SUBCASE("of an interim response is checked as well")
@@ -538,7 +539,8 @@
                 auto const line = name + ": 1\r\n";
                 CHECK(read_response(head + line + "\r\n") ==
                       read_status::malformed);
-                CHECK(read_response(head + "X-Test: 1\r\n" + line + "\r\n") ==
+                CHECK(read_response(
+                          absl::StrCat(head, "X-Test: 1\r\n", line, "\r\n")) ==
                       read_status::malformed);
             }
     }
@@ -570,8 +572,9 @@
     {
         for (std::string const value :
              {"chunked", "Chunked", "chunked ", "\tchunked"})
-            CHECK(read_response(status_line + "Transfer-Encoding:" + value +
-                                "\r\n" + chunks) == read_status::complete);
+            CHECK(read_response(
+                      absl::StrCat(status_line, "Transfer-Encoding:", value,
+                                   "\r\n", chunks)) == read_status::complete);
         CHECK(read_response(status_line +
                             "Transfer-Encoding: identity\r\n\r\nok") ==
               read_status::complete);
@@ -585,8 +588,9 @@
               "chunked\r\nTransfer-Encoding: identity"})
         {
             CAPTURE(value);
-            CHECK(read_response(status_line + "Transfer-Encoding: " + value +
-                                "\r\n" + chunks) == read_status::malformed);
+            CHECK(read_response(
+                      absl::StrCat(status_line, "Transfer-Encoding: ", value,
+                                   "\r\n", chunks)) == read_status::malformed);
         }
         CHECK(status_of("POST / HTTP/1.1\r\nHost: x\r\n"
                         "Transfer-Encoding: gzip, chunked\r\n" +
@@ -601,8 +605,9 @@
               "2\r\nTransfer-Encoding: identity"})
         {
             CAPTURE(value);
-            CHECK(read_response(status_line + "Content-Length: " + value +
-                                "\r\n" + chunks) == read_status::malformed);
+            CHECK(read_response(
+                      absl::StrCat(status_line, "Content-Length: ", value,
+                                   "\r\n", chunks)) == read_status::malformed);
         }
         CHECK(read_response(status_line +
                             "Transfer-Encoding: chunked\r\n"
@@ -618,8 +623,8 @@
             {
                 CAPTURE(status);
                 CAPTURE(field);
-                auto const bytes =
-                    "HTTP/1.1 " + status + " Status\r\n" + field + "\r\nnext";
+                auto const bytes = absl::StrCat(
+                    "HTTP/1.1 ", status, " Status\r\n", field, "\r\nnext");
                 std::string_view rest = bytes;
                 http_reader reader(http_reader::direction::response);
                 CHECK(reader.feed(rest) == read_status::complete);
--- a/src/pollenhall_sidecar/broken_response_test.cpp
+++ b/src/pollenhall_sidecar/broken_response_test.cpp
@@ -5,6 +5,8 @@
 
 #include "sidecar_fixture.hpp"
 
+#include <absl/strings/str_cat.h>
+
 namespace
 {
 
@@ -67,7 +69,7 @@
     /// Fields without which a response is not taken for the one to a request.
     [[nodiscard]] std::string fields() const
     {
-        std::string const fields = "Test-Id: 7\r\nTest-Signature: s\r\n";
+        std::string fields = "Test-Id: 7\r\nTest-Signature: s\r\n";
         if (!server_is_peer)
             return fields;
         return fields + gate_report_header + ": " +
@@ -194,7 +196,8 @@
           "HTTP/1.1 101 Switching Protocols"})
     {
         CAPTURE(line);
-        CHECK(test->call(line + "\r\n" + rest).response.status == 502);
+        CHECK(test->call(absl::StrCat(line, "\r\n", rest)).response.status ==
+              502);
     }
     for (std::string const line :
          {"X Bad: 1", " X-Bad: 1", "\tX-Bad: 1", "X-Bad : 1", "\rX-Bad: 1",
@@ -202,10 +205,11 @@
     {
         CAPTURE(line);
         auto const head = "HTTP/1.1 200 OK\r\n";
-        CHECK(test->call(head + line + "\r\n" + rest).response.status == 502);
+        CHECK(test->call(absl::StrCat(head, line, "\r\n", rest))
+                  .response.status == 502);
         // The line is the last one of the head.
         auto const fields = rest.substr(0, rest.find("\r\n\r\n") + 2);
-        CHECK(test->call(head + fields + line + "\r\n\r\nHello")
+        CHECK(test->call(absl::StrCat(head, fields, line, "\r\n\r\nHello"))
                   .response.status == 502);
     }
     for (std::string const body :
@@ -265,8 +269,8 @@
             CAPTURE(status);
             CAPTURE(framing);
             auto const result = test->call(
-                "HTTP/1.1 " + status + " Status\r\n" + test->fields() +
-                "Connection: close\r\n" + framing + "\r\n");
+                absl::StrCat("HTTP/1.1 ", status, " Status\r\n", test->fields(),
+                             "Connection: close\r\n", framing, "\r\n"));
             CHECK(std::to_string(result.response.status) == status);
         }
 }
