The check of lines searches for CR and LF instead of reading each byte

Change: each line is searched for its CR, then for an LF. The comment on the trailer says what it is. Both versions gave the same results on 20 million random inputs, in random pieces, in each kind of section; the tests pass as before.

--- a/src/include/pollenhall/mesh/line_check.hpp
+++ b/src/include/pollenhall/mesh/line_check.hpp
@@ -19,7 +19,8 @@
     header,
     /// The line before each chunk.
     chunk_size,
-    /// Ends with an empty line; has no other lines as a rule.
+    /// The fields after the last chunk, which are rare. Ends with an empty
+    /// line.
     trailer
 };
 
@@ -37,6 +38,9 @@
     [[nodiscard]] bool ended() const { return ended_; }
 
 private:
+    // Reads bytes of one line. Returns false if it begins with a blank though
+    // it follows another one, or has a line feed.
+    bool read_text(std::string_view text);
     // Whether the line feed that was just read ends the section.
     [[nodiscard]] bool ends_section() const;
 
@@ -45,7 +49,8 @@
     bool has_lines_ = false;
     bool line_is_empty_ = true;
     bool ended_ = false;
-    char previous_ = 0;
+    // Whether the last byte was a CR.
+    bool after_cr_ = false;
 };
 
 } // namespace pollenhall::mesh
--- a/src/libpollenhall_mesh/line_check.cpp
+++ b/src/libpollenhall_mesh/line_check.cpp
@@ -10,26 +10,38 @@
     std::size_t size = 0;
     while (size < data.size() && !ended_)
     {
-        char const c = data[size++];
-        if ((previous_ == '\r') != (c == '\n'))
-            return std::nullopt;
-        if (c == '\n')
+        auto const rest = data.substr(size);
+        if (after_cr_)
         {
+            if (rest.front() != '\n')
+                return std::nullopt;
             ended_ = ends_section();
             line_is_empty_ = true;
+            after_cr_ = false;
+            ++size;
+            continue;
         }
-        else if (c != '\r')
-        {
-            if (line_is_empty_ && has_lines_ && (c == ' ' || c == '\t'))
-                return std::nullopt;
-            line_is_empty_ = false;
-            has_lines_ = true;
-        }
-        previous_ = c;
+        auto const text = rest.substr(0, rest.find('\r'));
+        if (!read_text(text))
+            return std::nullopt;
+        after_cr_ = text.size() < rest.size();
+        size += text.size() + (after_cr_ ? 1 : 0);
     }
     return size;
 }
 
+bool line_check::read_text(std::string_view text)
+{
+    if (text.empty())
+        return true;
+    if (line_is_empty_ && has_lines_ &&
+        (text.front() == ' ' || text.front() == '\t'))
+        return false;
+    line_is_empty_ = false;
+    has_lines_ = true;
+    return text.find('\n') == std::string_view::npos;
+}
+
 bool line_check::ends_section() const
 {
     switch (section_)
