--- a/src/include/pollenhall/mesh/http_reader.hpp
+++ b/src/include/pollenhall/mesh/http_reader.hpp
@@ -121,8 +121,8 @@
     // Adds to the size of the header. Returns false if it exceeds the limit.
     bool add_header_bytes(std::size_t size);
     [[nodiscard]] bool header_is_valid() const;
-    // Whether the body has no transfer coding other than chunks. Others would
-    // remain in the body, as the field that names them is not forwarded.
+    // Whether the transfer coding, if any, is chunks or identity. Any other one
+    // would remain in the body, as the field that names it is not forwarded.
     [[nodiscard]] bool coding_is_known() const;
     void reset();
 
@@ -136,7 +136,7 @@
     std::uint64_t chunk_rest_ = 0;
     // Last two bytes that were read of the current chunk.
     std::string chunk_end_;
-    // Only of a response.
+    // First bytes of the status line; empty for requests.
     std::string status_line_start_;
     // Request target or reason phrase.
     std::string target_or_reason_;
--- a/src/libpollenhall_io/upstream_connection.cpp
+++ b/src/libpollenhall_io/upstream_connection.cpp
@@ -99,7 +99,7 @@
         auto const size = socket_.read_some(asio::buffer(buffer), error);
         if (error == asio::error::would_block)
             continue;
-        auto const end = error ? read_end(error, response)
+        auto const end = error ? on_connection_end(error, response)
                                : read({buffer.data(), size}, is_head, response);
         if (end)
             return *end;
@@ -119,8 +119,9 @@
     return false;
 }
 
-request_end upstream_connection::read_end(asio::error_code error,
-                                          mesh::http_response& response)
+request_end
+upstream_connection::on_connection_end(asio::error_code error,
+                                       mesh::http_response& response)
 {
     // The kernel reports a reset once. If the write got it, the read sees the
     // end of the stream instead.
--- a/src/libpollenhall_io/upstream_connection.hpp
+++ b/src/libpollenhall_io/upstream_connection.hpp
@@ -56,8 +56,9 @@
     // Writes what the connection accepts at once. Returns whether more is to be
     // written; not after an error.
     bool write_some();
-    // Handles the end of the connection.
-    request_end read_end(asio::error_code error, mesh::http_response& response);
+    // Handles the end of the connection, whether in order or not.
+    request_end on_connection_end(asio::error_code error,
+                                  mesh::http_response& response);
     // Reads received bytes; returns nothing if the response is incomplete.
     std::optional<request_end> read(std::string_view data, bool is_head,
                                     mesh::http_response& response);
