pollenctl: the announced size of a broken answer is not allocated

Seen: an answer whose name or text announces a size makes pollenctl allocate that much, 1.2 GB for an HTTP response and 2.1 GB at most, before it fails. Cause: Thrift's protocol allocates a string before it compares its size with the limit of a message, and reads the first bytes of a message without a version as a size. Change: strings are limited like messages (100 MB), and a message needs a version, which the daemon always writes.

--- a/src/pollenctl/operator_connection.cpp
+++ b/src/pollenctl/operator_connection.cpp
@@ -6,6 +6,7 @@
 
 #include <stdexcept>
 
+#include <thrift/TConfiguration.h>
 #include <thrift/protocol/TBinaryProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 #include <thrift/transport/TSocket.h>
@@ -21,6 +22,7 @@
 operator_connection::operator_connection(std::string const& node,
                                          operator_login const& login)
 {
+    using apache::thrift::TConfiguration;
     using apache::thrift::protocol::TBinaryProtocol;
     using apache::thrift::transport::TBufferedTransport;
     using apache::thrift::transport::TSocket;
@@ -35,8 +37,12 @@
     socket->setSendTimeout(call_timeout_ms);
     auto const transport = std::make_shared<TBufferedTransport>(socket);
     transport->open();
-    client_ = std::make_unique<rpc::operator_serviceClient>(
-        std::make_shared<TBinaryProtocol>(transport));
+    auto const protocol = std::make_shared<TBinaryProtocol>(transport);
+    // The protocol would allocate any announced size, and take the first bytes
+    // of an answer without a version for one.
+    protocol->setStringSizeLimit(TConfiguration::DEFAULT_MAX_MESSAGE_SIZE);
+    protocol->setStrict(true, true);
+    client_ = std::make_unique<rpc::operator_serviceClient>(protocol);
     client_->log_in(login.name, login.key);
 }
 
