pollenhall-sidecar: logs and metrics tell a store that went back from one without history

Cause: the record could not tell the hypotheses apart: nothing said which revision the store named, and a configuration that was received and ignored left no line. Change: store_content_read (revision read and known, items, changed ones), configuration_not_newer, pollenhall_store_calls_total by call and outcome, pollenhall_store_revision. No change of logic.

--- a/src/pollenhall_sidecar/control_node.cpp
+++ b/src/pollenhall_sidecar/control_node.cpp
@@ -239,6 +239,14 @@
     auto const own_key = layout_.hosts_prefix + options_.host.value();
     auto const before = mirror_.revision();
     auto const changes = mirror_.apply(update);
+    metrics_.set_store_revision(mirror_.revision().value());
+    if (update.complete)
+        log_event("store_content_read")
+            .add("source", source)
+            .add("revision", update.revision.value())
+            .add("known_revision", before.value())
+            .add("items", static_cast<std::int64_t>(update.items.size()))
+            .add("changed", static_cast<std::int64_t>(changes.size()));
     bool hosts_changed = false;
     bool own_changed = false;
     for (auto const& item : changes)
@@ -279,7 +287,13 @@
         return;
     }
     if (decoded->version <= version())
+    {
+        log_event("configuration_not_newer")
+            .add("source", source)
+            .add("version", decoded->version.value())
+            .add("in_force", version().value());
         return;
+    }
     log_event("configuration_in_force")
         .add("source", source)
         .add("version", decoded->version.value())
--- a/src/pollenhall_sidecar/node_metrics.cpp
+++ b/src/pollenhall_sidecar/node_metrics.cpp
@@ -55,6 +55,8 @@
                                      "Further attempts, by what went before")),
       gate_calls_(counter_family(registry_, "pollenhall_gate_calls_total",
                                  "Calls at the upstream of this host")),
+      store_calls_(counter_family(registry_, "pollenhall_store_calls_total",
+                                  "Calls to the store that have returned")),
       gate_wait_(histogram_family(registry_, "pollenhall_gate_wait_seconds",
                                   "Time that calls waited for a slot")
                      .Add({}, latency_buckets_seconds)),
@@ -71,6 +73,8 @@
                      "Version of the configuration in force")),
       store_(gauge(registry_, "pollenhall_store_reachable",
                    "Whether the last call to the store was answered")),
+      store_revision_(gauge(registry_, "pollenhall_store_revision",
+                            "Revision up to which the store is known")),
       dropped_lines_(gauge(registry_, "pollenhall_log_lines_dropped",
                            "Log lines that found no room"))
 {
@@ -79,12 +83,12 @@
 prometheus::Counter&
 node_metrics::counter(std::map<name_pair, prometheus::Counter*>& counters,
                       prometheus::Family<prometheus::Counter>& family,
-                      name_pair const& key, char const* second_label)
+                      name_pair const& key, name_pair const& labels)
 {
     auto& cached = counters[key];
     if (cached == nullptr)
-        cached =
-            &family.Add({{"service", key.first}, {second_label, key.second}});
+        cached = &family.Add(
+            {{labels.first, key.first}, {labels.second, key.second}});
     return *cached;
 }
 
@@ -92,7 +96,7 @@
                                std::string_view outcome, microseconds took)
 {
     counter(call_counters_, calls_, {service.value(), std::string(outcome)},
-            "outcome")
+            {"service", "outcome"})
         .Increment();
     auto& histogram = call_histograms_[service];
     if (histogram == nullptr)
@@ -105,7 +109,7 @@
                                         std::string_view reason)
 {
     counter(extra_attempt_counters_, extra_attempts_,
-            {service.value(), std::string(reason)}, "reason")
+            {service.value(), std::string(reason)}, {"service", "reason"})
         .Increment();
 }
 
@@ -113,7 +117,7 @@
                                     microseconds waited, microseconds ran)
 {
     counter(gate_call_counters_, gate_calls_, {"own", std::string(outcome)},
-            "outcome")
+            {"service", "outcome"})
         .Increment();
     gate_wait_.Observe(to_seconds(waited));
     gate_run_.Observe(to_seconds(ran));
@@ -126,6 +130,19 @@
     limit_.Set(limit);
 }
 
+void node_metrics::record_store_call(std::string_view call,
+                                     std::string_view outcome)
+{
+    counter(store_call_counters_, store_calls_,
+            {std::string(call), std::string(outcome)}, {"call", "outcome"})
+        .Increment();
+}
+
+void node_metrics::set_store_revision(std::int64_t revision)
+{
+    store_revision_.Set(static_cast<double>(revision));
+}
+
 void node_metrics::set_configuration_version(std::int64_t version)
 {
     version_.Set(static_cast<double>(version));
--- a/src/pollenhall_sidecar/node_metrics.hpp
+++ b/src/pollenhall_sidecar/node_metrics.hpp
@@ -40,6 +40,10 @@
     /// Sets the gauges of the gate.
     void record_gate_load(int running, int queued, int limit);
 
+    /// Counts a call to the store that has returned.
+    void record_store_call(std::string_view call, std::string_view outcome);
+    /// Sets the revision up to which the changes of the store are known.
+    void set_store_revision(std::int64_t revision);
     void set_configuration_version(std::int64_t version);
     void set_store_reachable(bool reachable);
 
@@ -49,17 +53,19 @@
 private:
     using name_pair = std::pair<std::string, std::string>;
 
-    // The counter for a pair of label values, created on first use.
+    // The counter for a pair of label values, created on first use. `labels`
+    // are the names of the labels.
     prometheus::Counter&
     counter(std::map<name_pair, prometheus::Counter*>& counters,
             prometheus::Family<prometheus::Counter>& family,
-            name_pair const& key, char const* second_label);
+            name_pair const& key, name_pair const& labels);
 
     prometheus::Registry registry_;
     prometheus::Family<prometheus::Counter>& calls_;
     prometheus::Family<prometheus::Histogram>& call_seconds_;
     prometheus::Family<prometheus::Counter>& extra_attempts_;
     prometheus::Family<prometheus::Counter>& gate_calls_;
+    prometheus::Family<prometheus::Counter>& store_calls_;
     prometheus::Histogram& gate_wait_;
     prometheus::Histogram& gate_run_;
     prometheus::Gauge& running_;
@@ -67,11 +73,13 @@
     prometheus::Gauge& limit_;
     prometheus::Gauge& version_;
     prometheus::Gauge& store_;
+    prometheus::Gauge& store_revision_;
     prometheus::Gauge& dropped_lines_;
     // Counters and histograms created so far, by label values.
     std::map<name_pair, prometheus::Counter*> call_counters_;
     std::map<name_pair, prometheus::Counter*> extra_attempt_counters_;
     std::map<name_pair, prometheus::Counter*> gate_call_counters_;
+    std::map<name_pair, prometheus::Counter*> store_call_counters_;
     std::map<service_name, prometheus::Histogram*> call_histograms_;
 };
 
