pollenhall-sidecar: a store that comes back from an older copy is read as a later era

Cause: revisions were compared as one rising sequence. Change: a revision has an era, from the store's header Store-Era, and is compared by era first. A complete read of a later era replaces all items; updates of an earlier era and mere changes of a later one are ignored. A watch whose response is of another era counts as one without history. Any response, also of a call outside the watch, makes the node read the new era. Peers name the era in requests and responses; one that is behind counts as not current and polls the peer that is ahead.

--- a/src/include/pollenhall/mesh/store_mirror.hpp
+++ b/src/include/pollenhall/mesh/store_mirror.hpp
@@ -16,8 +16,35 @@
 namespace pollenhall::mesh
 {
 
-/// Revision of the store; increases with each change. 0 means none.
-using store_revision = strong_value<struct store_revision_tag, std::int64_t>;
+/// Counts how often the store has come back from an older copy. The changes
+/// that the copy did not have are lost, and their revisions are given out
+/// again.
+using store_era = strong_value<struct store_era_tag, std::int64_t>;
+
+/// Revision of the store; its number increases with each change within an era.
+/// All revisions of an era are later than those of the eras before. The default
+/// value means none.
+class store_revision
+{
+public:
+    constexpr store_revision() = default;
+    constexpr explicit store_revision(std::int64_t number,
+                                      store_era era = store_era())
+        : era_(era), number_(number)
+    {
+    }
+
+    [[nodiscard]] constexpr store_era era() const { return era_; }
+    /// The number by which the store knows the revision; 0 for none.
+    [[nodiscard]] constexpr std::int64_t number() const { return number_; }
+
+    // Compares the eras first.
+    auto operator<=>(store_revision const&) const = default;
+
+private:
+    store_era era_;
+    std::int64_t number_ = 0;
+};
 
 /// A key and its value, or the removal of the key.
 struct store_item
@@ -51,7 +78,9 @@
     /// their removal can be reported to peers.
     explicit store_mirror(std::size_t max_removed = 1'024);
 
-    /// Merges an update and returns the items that changed.
+    /// Merges an update and returns the items that changed. A complete update
+    /// of a later era replaces all items. Ignored are updates of an earlier era
+    /// and changes of a later one: they do not say what that era began with.
     std::vector<store_item> apply(store_items const& update);
     /// Returns the changes after the revision `after`, for a node that is up to
     /// date at that revision. Returns all items, marked as complete, if
@@ -61,8 +90,8 @@
     [[nodiscard]] store_revision revision() const { return revision_; }
     /// Returns the value of a key, or null if the key does not exist.
     [[nodiscard]] std::string const* find(std::string const& key) const;
-    /// Returns the revision of the last change of a key, or 0 if the key is
-    /// unknown.
+    /// Returns the revision of the last change of a key, or none if the key
+    /// does not exist.
     [[nodiscard]] store_revision revision_of(std::string const& key) const;
 
 private:
--- a/src/libpollenhall_mesh/store_mirror.cpp
+++ b/src/libpollenhall_mesh/store_mirror.cpp
@@ -31,6 +31,9 @@
 
 std::vector<store_item> store_mirror::apply(store_items const& update)
 {
+    if (update.revision.era() < revision_.era() ||
+        (update.revision.era() > revision_.era() && !update.complete))
+        return {};
     auto items = update.items;
     if (update.complete)
     {
@@ -101,7 +104,9 @@
 store_revision store_mirror::revision_of(std::string const& key) const
 {
     auto const found = entries_.find(key);
-    return found == entries_.end() ? store_revision() : found->second.revision;
+    return found == entries_.end() || !found->second.value
+               ? store_revision()
+               : found->second.revision;
 }
 
 } // namespace pollenhall::mesh
--- a/src/libpollenhall_mesh/store_mirror_test.cpp
+++ b/src/libpollenhall_mesh/store_mirror_test.cpp
@@ -61,7 +61,7 @@
     }
     [[nodiscard]] store_items watch(store_revision after) const
     {
-        return {.items = {history.begin() + after.value(), history.end()},
+        return {.items = {history.begin() + after.number(), history.end()},
                 .revision = revision()};
     }
 };
@@ -160,13 +160,13 @@
                     break;
                 case 1:
                 case 2:
-                    if (one.revision().value() > 0)
+                    if (one.revision().number() > 0)
                         one.apply(store.watch(one.revision()));
                     break;
                 case 3:
                 case 4:
                     // A node without data does not respond to polls.
-                    if (other.revision().value() > 0)
+                    if (other.revision().number() > 0)
                         one.apply(other.changes_after(one.revision()));
                     break;
                 default:
@@ -175,7 +175,7 @@
                         step / 50 % 2 == 0);
                 }
             }
-            mirrors[0].apply(mirrors[0].revision().value() > 0
+            mirrors[0].apply(mirrors[0].revision().number() > 0
                                  ? store.watch(mirrors[0].revision())
                                  : store.read());
             RC_ASSERT(agrees(mirrors[0], store));
--- a/src/pollenhall_sidecar/change_feed.cpp
+++ b/src/pollenhall_sidecar/change_feed.cpp
@@ -44,26 +44,28 @@
 
 } // namespace
 
-std::string changes_target(store_revision after, milliseconds wait)
+std::string changes_target(changes_request const& request)
 {
     return std::string(changes_path) +
-           "?after=" + std::to_string(after.value()) +
-           "&wait_ms=" + std::to_string(wait.count());
+           "?after=" + std::to_string(request.after.number()) +
+           "&era=" + std::to_string(request.after.era().value()) +
+           "&wait_ms=" + std::to_string(request.wait.count());
 }
 
 std::string write_changes(change_report const& report)
 {
     auto items = json::array();
     for (auto const& item : report.changes.items)
-        items.push_back({item.key, item.revision.value(),
+        items.push_back({item.key, item.revision.number(),
                          item.value ? json(*item.value) : json(nullptr)});
-    return json{{"at", report.changes.revision.value()},
-                {"complete", report.changes.complete},
-                {"current", report.current},
-                {"items", items}}
-        // Values of other writers may be invalid UTF-8. They can't be parsed as
-        // entries in any case, so replacing bytes loses nothing.
-        .dump(-1, ' ', false, json::error_handler_t::replace);
+    json out{{"at", report.changes.revision.number()},
+             {"era", report.changes.revision.era().value()},
+             {"complete", report.changes.complete},
+             {"current", report.current},
+             {"items", items}};
+    // Values of other writers may be invalid UTF-8. They can't be parsed as
+    // entries in any case, so replacing bytes loses nothing.
+    return out.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 absl::StatusOr<change_report> parse_changes(std::string const& text)
@@ -71,16 +73,18 @@
     try
     {
         auto const in = json::parse(text);
+        // Nodes of earlier builds know no eras.
+        store_era const era(in.value("era", std::int64_t{0}));
         change_report report{
-            .changes = {.revision =
-                            store_revision(in.at("at").get<std::int64_t>()),
+            .changes = {.revision = store_revision(
+                            in.at("at").get<std::int64_t>(), era),
                         .complete = in.at("complete").get<bool>()},
             .current = in.at("current").get<bool>()};
         for (auto const& row : in.at("items"))
         {
-            store_item item{.key = row.at(0).get<std::string>(),
-                            .revision =
-                                store_revision(row.at(1).get<std::int64_t>())};
+            store_item item{
+                .key = row.at(0).get<std::string>(),
+                .revision = store_revision(row.at(1).get<std::int64_t>(), era)};
             if (!row.at(2).is_null())
                 item.value = row.at(2).get<std::string>();
             report.changes.items.push_back(std::move(item));
@@ -130,26 +134,42 @@
             .add("from", from->remote_host());
         return from->respond({.status = 404}, false);
     }
-    if (!current_ || *wait == 0 || mirror_.revision() > store_revision(*after))
-        return respond(from, store_revision(*after));
+    // Nodes of earlier builds know no eras.
+    auto const known = mirror_.revision();
+    changes_request const wanted{
+        .after = store_revision(*after,
+                                store_era(query_number(request.target, "era=")
+                                              .value_or(known.era().value()))),
+        .wait = milliseconds(std::min(*wait, max_wait_ms))};
+    bool const is_behind = wanted.after.era() > known.era();
+    if (is_behind && on_later_era_)
+        on_later_era_(mesh::host_address(from->remote_host()));
+    if (!current_ || *wait == 0 || known > wanted.after || is_behind)
+        return respond(from, wanted);
     auto const request_id = ++last_request_id_;
     pending_.emplace(
         request_id,
         pending_request{.exchange = from,
-                        .after = store_revision(*after),
-                        .timeout = timers_.after(
-                            milliseconds(std::min(*wait, max_wait_ms)),
-                            [this, request_id] { on_timeout(request_id); })});
+                        .request = wanted,
+                        .timeout = timers_.after(wanted.wait, [this, request_id]
+                                                 { on_timeout(request_id); })});
 }
 
 void change_feed::respond(std::shared_ptr<server_exchange> const& to,
-                          store_revision after) const
+                          changes_request const& request) const
 {
-    auto const text = write_changes(
-        {.changes = mirror_.changes_after(after), .current = current_});
+    change_report report{.changes = mirror_.changes_after(request.after),
+                         .current = current_};
+    auto const text = write_changes(report);
     to->respond({.status = 200, .body = text}, false);
 }
 
+void change_feed::set_later_era_handler(
+    std::function<void(mesh::host_address const&)> handler)
+{
+    on_later_era_ = std::move(handler);
+}
+
 void change_feed::set_current(bool current)
 {
     current_ = current;
@@ -164,7 +184,7 @@
     for (auto& [request_id, request] : requests)
     {
         timers_.cancel(request.timeout);
-        respond(request.exchange, request.after);
+        respond(request.exchange, request.request);
     }
 }
 
@@ -172,7 +192,7 @@
 {
     auto const request = pending_.extract(request_id);
     if (!request.empty())
-        respond(request.mapped().exchange, request.mapped().after);
+        respond(request.mapped().exchange, request.mapped().request);
 }
 
 } // namespace pollenhall::sidecar
--- a/src/pollenhall_sidecar/change_feed.hpp
+++ b/src/pollenhall_sidecar/change_feed.hpp
@@ -7,6 +7,8 @@
 #include "server_connection.hpp"
 #include "shared_store.hpp"
 
+#include <pollenhall/mesh/placement.hpp>
+
 #include <map>
 
 namespace pollenhall::sidecar
@@ -21,13 +23,20 @@
     bool current = false;
 };
 
+/// Request of a node for the changes that it has missed.
+struct changes_request
+{
+    store_revision after;
+    // The peer may hold the response for so long if there are none.
+    milliseconds wait{0};
+};
+
 /// Writes a report as JSON.
 std::string write_changes(change_report const& report);
 /// Parses a report; returns `InvalidArgument` if it is malformed.
 absl::StatusOr<change_report> parse_changes(std::string const& text);
-/// Request target for the changes after a revision; the peer may hold the
-/// response for up to `wait`.
-std::string changes_target(store_revision after, milliseconds wait);
+/// Returns the request target of a request.
+std::string changes_target(changes_request const& request);
 
 /// Serves store changes to peers. Not thread-safe: used on the control thread
 /// only.
@@ -43,6 +52,10 @@
     /// requests get an immediate response, so that peers can turn to another
     /// node.
     void set_current(bool current);
+    /// Sets a handler that is called when a peer knows a later era of the
+    /// store.
+    void set_later_era_handler(
+        std::function<void(mesh::host_address const&)> handler);
     /// Responds to all pending requests. Must be called after the mirror has
     /// changed.
     void on_change();
@@ -51,14 +64,14 @@
     struct pending_request
     {
         std::shared_ptr<server_exchange> exchange;
-        store_revision after;
+        changes_request request;
         deadline_timers::handle timeout{};
     };
 
     void serve(std::shared_ptr<server_exchange> const& from,
                mesh::http_request const& request);
     void respond(std::shared_ptr<server_exchange> const& to,
-                 store_revision after) const;
+                 changes_request const& request) const;
     void on_timeout(std::uint64_t request_id);
 
     deadline_timers& timers_;
@@ -67,6 +80,7 @@
     std::map<std::uint64_t, pending_request> pending_;
     std::uint64_t last_request_id_ = 0;
     bool current_ = false;
+    std::function<void(mesh::host_address const&)> on_later_era_;
 };
 
 } // namespace pollenhall::sidecar
--- a/src/pollenhall_sidecar/control_departures.cpp
+++ b/src/pollenhall_sidecar/control_departures.cpp
@@ -169,8 +169,8 @@
                      // the host or another holder writes it.
                      log_event("kept_entry_written")
                          .add("host", host.value())
-                         .add("revision",
-                              written.ok() ? written->value() : std::int64_t{0})
+                         .add("revision", written.ok() ? written->number()
+                                                       : std::int64_t{0})
                          .add("error", std::string(written.status().message()));
                  });
 }
--- a/src/pollenhall_sidecar/control_node.cpp
+++ b/src/pollenhall_sidecar/control_node.cpp
@@ -56,6 +56,8 @@
                         std::to_string(options_.upstream.port())),
       departure_replicas_({.own_host = options_.host}), departures_({})
 {
+    change_feed_.set_later_era_handler([this](mesh::host_address const& peer)
+                                       { poll_peer(peer); });
 }
 
 void control_node::start()
@@ -124,6 +126,28 @@
     wait_for_changes();
 }
 
+void control_node::read_later_era()
+{
+    if (reading_later_era_ || store_.era() <= mirror_.revision().era())
+        return;
+    reading_later_era_ = true;
+    store_.read(layout_.common_prefix,
+                [this](absl::StatusOr<store_items> items)
+                {
+                    reading_later_era_ = false;
+                    if (items.ok())
+                    {
+                        apply_changes(*items, "store");
+                        return publish_entry();
+                    }
+                    log_event("store_lost", log_level::warning)
+                        .add("call", "read_later_era")
+                        .add("error", std::string(items.status().message()));
+                    timers_.after(jittered(max_store_retry_delay),
+                                  [this] { read_later_era(); });
+                });
+}
+
 void control_node::wait_for_changes_later(milliseconds delay)
 {
     timers_.after(delay, [this] { wait_for_changes(); });
@@ -175,10 +199,10 @@
     receiving_changes_ = receiving;
     if (receiving)
         log_event("store_news_regained")
-            .add("revision", mirror_.revision().value());
+            .add("revision", mirror_.revision().number());
     else
         log_event("store_news_lost", log_level::warning)
-            .add("revision", mirror_.revision().value());
+            .add("revision", mirror_.revision().number());
     change_feed_.set_current(receiving && !stopping_);
     if (!receiving)
         schedule_peer_poll();
@@ -187,11 +211,16 @@
 void control_node::on_store_error(std::string_view call,
                                   absl::Status const& status)
 {
-    // The store is reachable but has compacted the requested revision.
+    // The store is reachable but does not have the history after the requested
+    // revision.
     if (status.code() == absl::StatusCode::kOutOfRange)
     {
         log_event("store_history_gone", log_level::warning)
-            .add("revision", mirror_.revision().value());
+            .add("call", call)
+            .add("error", std::string(status.message()))
+            .add("revision", mirror_.revision().number())
+            .add("era", mirror_.revision().era().value())
+            .add("store_era", store_.era().value());
         retry_delay_ = milliseconds{0};
         return;
     }
@@ -199,7 +228,7 @@
         log_event("store_lost", log_level::warning)
             .add("call", call)
             .add("error", std::string(status.message()))
-            .add("revision", mirror_.revision().value());
+            .add("revision", mirror_.revision().number());
     store_reachable_ = false;
     if (store_contact_ == store_contact::pending)
         store_contact_ = store_contact::after_failure;
@@ -221,7 +250,8 @@
 void control_node::on_store_response()
 {
     if (!store_reachable_)
-        log_event("store_regained").add("revision", mirror_.revision().value());
+        log_event("store_regained")
+            .add("revision", mirror_.revision().number());
     store_reachable_ = true;
     metrics_.set_store_reachable(true);
     retry_delay_ = milliseconds{0};
@@ -239,12 +269,14 @@
     auto const own_key = layout_.hosts_prefix + options_.host.value();
     auto const before = mirror_.revision();
     auto const changes = mirror_.apply(update);
-    metrics_.set_store_revision(mirror_.revision().value());
+    metrics_.set_store_revision(mirror_.revision().number());
     if (update.complete)
         log_event("store_content_read")
             .add("source", source)
-            .add("revision", update.revision.value())
-            .add("known_revision", before.value())
+            .add("revision", update.revision.number())
+            .add("era", update.revision.era().value())
+            .add("known_revision", before.number())
+            .add("known_era", before.era().value())
             .add("items", static_cast<std::int64_t>(update.items.size()))
             .add("changed", static_cast<std::int64_t>(changes.size()));
     bool hosts_changed = false;
@@ -265,6 +297,17 @@
             hosts_changed = true;
         }
     }
+    // A complete update does not list a key that the mirror never had.
+    if (update.complete && published_entry_ &&
+        mirror_.find(own_key) == nullptr &&
+        mirror_.revision() >= published_revision_)
+    {
+        published_entry_.reset();
+        published_revision_ = store_revision();
+        own_changed = true;
+    }
+    if (mirror_.revision().era() > before.era())
+        on_era_changed(before);
     if (!own_entry_known_ && mirror_.revision() > store_revision())
         read_acknowledged_upstream();
     else if (own_changed)
@@ -275,6 +318,19 @@
         change_feed_.on_change();
 }
 
+void control_node::on_era_changed(store_revision known)
+{
+    metrics_.set_store_era(mirror_.revision().era().value());
+    // The first response names the era, too.
+    if (known == store_revision())
+        return;
+    log_event("store_restored", log_level::warning)
+        .add("era", mirror_.revision().era().value())
+        .add("revision", mirror_.revision().number())
+        .add("known_era", known.era().value())
+        .add("known_revision", known.number());
+}
+
 void control_node::apply_configuration(std::string const& text,
                                        std::string_view source)
 {
@@ -321,7 +377,7 @@
     {
         log_event("host_entry_ignored", log_level::warning)
             .add("key", item.key)
-            .add("revision", item.revision.value())
+            .add("revision", item.revision.number())
             .add("error", entry.ok() ? "address differs from key"
                                      : std::string(entry.status().message()));
         return;
@@ -370,7 +426,7 @@
         .add("ready",
              std::count_if(all.begin(), all.end(),
                            [](auto const& item) { return item.ready; }))
-        .add("revision", mirror_.revision().value());
+        .add("revision", mirror_.revision().number());
     relays_.set_hosts(all);
     traffic_.set_hosts(std::move(all));
 }
@@ -424,65 +480,73 @@
     }
     writing_ = true;
     auto const key = layout_.hosts_prefix + options_.host.value();
-    store_.write(key, text, published_revision_,
-                 [this, key, text](absl::StatusOr<store_revision> written)
-                 {
-                     writing_ = false;
-                     if (written.ok())
-                     {
-                         on_store_response();
-                         published_entry_ = text;
-                         published_revision_ = *written;
-                         mirror_.apply({.items = {{.key = key,
-                                                   .value = text,
-                                                   .revision = *written}},
-                                        .revision = mirror_.revision()});
-                         log_event("host_entry_written")
-                             .add("revision", written->value())
-                             .add("ready", own_entry().ready);
-                         check_departure();
-                         return publish_entry();
-                     }
-                     log_event("host_entry_not_written", log_level::warning)
-                         .add("error", std::string(written.status().message()));
-                     // The revision did not match or the outcome is unknown:
-                     // the key is read before the next write.
-                     must_read_own_entry_ = true;
-                     read_own_entry();
-                 });
+    store_.write(
+        key, text, published_revision_,
+        [this, key, text](absl::StatusOr<store_revision> written)
+        {
+            writing_ = false;
+            read_later_era();
+            // A write of an earlier era may have been lost.
+            if (written.ok() && written->era() >= mirror_.revision().era())
+            {
+                on_store_response();
+                published_entry_ = text;
+                published_revision_ = *written;
+                if (written->era() == mirror_.revision().era())
+                    mirror_.apply({.items = {{.key = key,
+                                              .value = text,
+                                              .revision = *written}},
+                                   .revision = mirror_.revision()});
+                log_event("host_entry_written")
+                    .add("revision", written->number())
+                    .add("ready", own_entry().ready);
+                check_departure();
+                return publish_entry();
+            }
+            log_event("host_entry_not_written", log_level::warning)
+                .add("error", written.ok()
+                                  ? "written before the store was restored"
+                                  : std::string(written.status().message()));
+            // The revision did not match or the outcome is unknown:
+            // the key is read before the next write.
+            must_read_own_entry_ = true;
+            read_own_entry();
+        });
 }
 
 void control_node::read_own_entry()
 {
-    timers_.after(std::max(retry_delay_, min_store_retry_delay),
-                  [this]
-                  {
-                      auto const key =
-                          layout_.hosts_prefix + options_.host.value();
-                      store_.read(key,
-                                  [this, key](absl::StatusOr<store_items> items)
-                                  {
-                                      if (!items.ok())
-                                      {
-                                          on_store_error("read_own_entry",
-                                                         items.status());
-                                          return read_own_entry();
-                                      }
-                                      must_read_own_entry_ = false;
-                                      published_entry_.reset();
-                                      published_revision_ = store_revision();
-                                      for (auto const& item : items->items)
-                                          if (item.key == key)
-                                          {
-                                              published_entry_ = item.value;
-                                              published_revision_ =
-                                                  item.revision;
-                                              apply_host(item);
-                                          }
-                                      on_own_entry_changed();
-                                      publish_entry();
-                                  });
-                  });
+    timers_.after(
+        std::max(retry_delay_, min_store_retry_delay),
+        [this]
+        {
+            auto const key = layout_.hosts_prefix + options_.host.value();
+            store_.read(
+                key,
+                [this, key](absl::StatusOr<store_items> items)
+                {
+                    read_later_era();
+                    if (!items.ok())
+                    {
+                        on_store_error("read_own_entry", items.status());
+                        return read_own_entry();
+                    }
+                    if (items->revision.era() < mirror_.revision().era())
+                        return read_own_entry();
+                    must_read_own_entry_ = false;
+                    published_entry_.reset();
+                    published_revision_ = store_revision();
+                    for (auto const& item : items->items)
+                        if (item.key == key)
+                        {
+                            published_entry_ = item.value;
+                            published_revision_ = item.revision;
+                            apply_host(item);
+                        }
+                    on_own_entry_changed();
+                    publish_entry();
+                });
+        });
 }
 
 void control_node::upstream_changed(std::string_view cause)
--- a/src/pollenhall_sidecar/control_node.hpp
+++ b/src/pollenhall_sidecar/control_node.hpp
@@ -94,6 +94,9 @@
     // Meanwhile a relay may become known.
     void postpone_watch();
     void retry_after_store_error();
+    // Reads the store if a response has named a later era than that of the
+    // mirror. The watch that is open may take seconds to end.
+    void read_later_era();
     // A random time between half of `delay` and `delay`.
     [[nodiscard]] milliseconds jittered(milliseconds delay);
     void watch_store();
@@ -109,6 +112,9 @@
     // the store.
     void set_receiving_changes(bool receiving);
     void apply_changes(store_items const& update, std::string_view source);
+    // The store has come back from an older copy; `known` is the last known
+    // revision of the era before.
+    void on_era_changed(store_revision known);
     void apply_configuration(std::string const& text, std::string_view source);
     void apply_host(store_item const& item);
     // Reads what an earlier process of this node acknowledged to the upstream.
@@ -251,6 +257,8 @@
     // Changes may have been missed: the store must be read completely before
     // it is watched again.
     bool must_read_store_ = true;
+    // Whether read_later_era has a call open.
+    bool reading_later_era_ = false;
     int health_checks_ = 0;
     std::shared_ptr<client_pool> upstream_pool_;
     std::map<mesh::host_address, std::shared_ptr<client_pool>> peer_pools_;
--- a/src/pollenhall_sidecar/control_peers.cpp
+++ b/src/pollenhall_sidecar/control_peers.cpp
@@ -148,7 +148,8 @@
     std::function<void(exchange_result const&)> const& on_end)
 {
     mesh::http_request request{
-        .method = "GET", .target = changes_target(mirror_.revision(), wait)};
+        .method = "GET",
+        .target = changes_target({.after = mirror_.revision(), .wait = wait})};
     request.fields.add("Host", host.value());
     peer_pool(host).start({.bytes = mesh::write_request(request),
                            .deadline = mono_now() + wait + peer_timeout,
@@ -188,7 +189,7 @@
                       // fails, the host is probed again.
                       log_event("host_entry_removed", log_level::warning)
                           .add("host", host.value())
-                          .add("revision", removed.ok() ? removed->value()
+                          .add("revision", removed.ok() ? removed->number()
                                                         : std::int64_t{0})
                           .add("error",
                                std::string(removed.status().message()));
@@ -211,8 +212,10 @@
             .add("status", result.response.status);
         return false;
     }
+    bool const is_behind =
+        report->changes.revision.era() < mirror_.revision().era();
     apply_changes(report->changes, "peer");
-    return report->current;
+    return report->current && !is_behind;
 }
 
 server_handlers control_node::peer_handlers()
--- a/src/pollenhall_sidecar/counted_store.hpp
+++ b/src/pollenhall_sidecar/counted_store.hpp
@@ -17,6 +17,7 @@
     /// `store` and `metrics` must outlive this object.
     counted_store(shared_store& store, node_metrics& metrics);
 
+    [[nodiscard]] store_era era() const override { return store_.era(); }
     void read(std::string const& prefix, handler<store_items> on_end) override;
     void watch(std::string const& prefix, store_revision after,
                milliseconds wait, handler<store_items> on_end) override;
--- a/src/pollenhall_sidecar/node_metrics.cpp
+++ b/src/pollenhall_sidecar/node_metrics.cpp
@@ -75,6 +75,8 @@
                    "Whether the last call to the store was answered")),
       store_revision_(gauge(registry_, "pollenhall_store_revision",
                             "Revision up to which the store is known")),
+      store_era_(gauge(registry_, "pollenhall_store_era",
+                       "Era of the store, later after each restore")),
       dropped_lines_(gauge(registry_, "pollenhall_log_lines_dropped",
                            "Log lines that found no room"))
 {
@@ -143,6 +145,11 @@
     store_revision_.Set(static_cast<double>(revision));
 }
 
+void node_metrics::set_store_era(std::int64_t era)
+{
+    store_era_.Set(static_cast<double>(era));
+}
+
 void node_metrics::set_configuration_version(std::int64_t version)
 {
     version_.Set(static_cast<double>(version));
--- a/src/pollenhall_sidecar/node_metrics.hpp
+++ b/src/pollenhall_sidecar/node_metrics.hpp
@@ -44,6 +44,8 @@
     void record_store_call(std::string_view call, std::string_view outcome);
     /// Sets the revision up to which the changes of the store are known.
     void set_store_revision(std::int64_t revision);
+    /// Sets how often the store has come back from an older copy.
+    void set_store_era(std::int64_t era);
     void set_configuration_version(std::int64_t version);
     void set_store_reachable(bool reachable);
 
@@ -74,6 +76,7 @@
     prometheus::Gauge& version_;
     prometheus::Gauge& store_;
     prometheus::Gauge& store_revision_;
+    prometheus::Gauge& store_era_;
     prometheus::Gauge& dropped_lines_;
     // Counters and histograms created so far, by label values.
     std::map<name_pair, prometheus::Counter*> call_counters_;
--- a/src/pollenhall_sidecar/shared_store.hpp
+++ b/src/pollenhall_sidecar/shared_store.hpp
@@ -14,6 +14,7 @@
 namespace pollenhall::sidecar
 {
 
+using mesh::store_era;
 using mesh::store_item;
 using mesh::store_items;
 using mesh::store_revision;
@@ -31,9 +32,11 @@
 
 /// Asynchronous key-value store. Each handler is called exactly once, on the
 /// control thread, after the call has returned. Errors: `OutOfRange` if the
-/// requested revision has been compacted, `FailedPrecondition` if the expected
-/// revision does not match, `ResourceExhausted` and `Unavailable` if the call
-/// had no effect, `Unknown` if a write may or may not have been applied.
+/// history after the requested revision is not available, also because the
+/// store has come back from an older copy, `FailedPrecondition` if the expected
+/// revision does not match or is of an earlier era, `ResourceExhausted` and
+/// `Unavailable` if the call had no effect, `Unknown` if a write may or may not
+/// have been applied.
 class shared_store
 {
 public:
@@ -42,6 +45,9 @@
 
     virtual ~shared_store() = default;
 
+    /// Latest era that a response has named, whatever its outcome.
+    [[nodiscard]] virtual store_era era() const = 0;
+
     /// Reads all items under a prefix; sets `complete` in the result.
     virtual void read(std::string const& prefix,
                       handler<store_items> on_end) = 0;
