pollenhall-sidecar: reads of a store without history are delayed

Cause: a watch that got 410 was answered by a complete read and a new watch at once. Change: the first read follows at once, further ones after 50 ms to 1 s, until a watch has been answered. A follower that watches the store itself is delayed like a relay, not like one without a store.

--- a/src/pollenhall_sidecar/control_node.cpp
+++ b/src/pollenhall_sidecar/control_node.cpp
@@ -18,6 +18,9 @@
 // restored within 2 s of the store's recovery.
 constexpr milliseconds min_store_retry_delay{50};
 constexpr milliseconds max_store_retry_delay{800};
+// The same while the store has no history for any watch: only complete reads
+// deliver changes then, and a configuration must be in force within 2 s.
+constexpr milliseconds max_history_gone_delay{1'000};
 // The same for a node that usually receives changes from peers (a follower). It
 // is longer, because all followers call the store at once when it is
 // unavailable.
@@ -120,7 +123,7 @@
     must_read_store_ = true;
     next_store_attempt_ =
         mono_now() +
-        (relays_.is_default_relay()
+        (relays_.is_default_relay() || store_reachable_
              ? retry_delay_
              : std::max(retry_delay_, jittered(max_follower_retry_delay)));
     wait_for_changes();
@@ -189,6 +192,7 @@
                      if (!changes->items.empty())
                          postpone_watch();
                      wait_for_changes();
+                     history_gone_delay_ = milliseconds{0};
                  });
 }
 
@@ -220,8 +224,12 @@
             .add("error", std::string(status.message()))
             .add("revision", mirror_.revision().number())
             .add("era", mirror_.revision().era().value())
-            .add("store_era", store_.era().value());
-        retry_delay_ = milliseconds{0};
+            .add("store_era", store_.era().value())
+            .add("delay_ms", history_gone_delay_.count());
+        retry_delay_ = history_gone_delay_;
+        history_gone_delay_ =
+            jittered(std::clamp(history_gone_delay_ * 2, min_store_retry_delay,
+                                max_history_gone_delay));
         return;
     }
     if (store_reachable_ || retry_delay_.count() == 0)
--- a/src/pollenhall_sidecar/control_node.hpp
+++ b/src/pollenhall_sidecar/control_node.hpp
@@ -266,3 +266,6 @@
 };
 
 } // namespace pollenhall::sidecar
+    // Delay before the next read after the store had no history for a watch; 0
+    // after a watch that has returned changes or none.
+    milliseconds history_gone_delay_{0};
