pollenhall-sidecar: what a restored store has lost stays known

After it has come back from an older copy, - a node that starts read the older configuration and served it until the operator had written again. Now nodes offer their peers the configuration in force while the store has an older one. - entries that the copy lacks were dropped at once and their hosts got no calls until they had written them again; if all were lost, the nodes behaved as in a new fleet. Now they stay in use for 2 s. - a departure that was acknowledged because the store had it was unknown to the next process of its node, and one late heartbeat brought the upstream back. Now relays that know the departure send it to the host, as they do for departures that the store never had. - a node without a watch open when the store was restored noticed it after up to 6 s, if the store accepted the revision. Now the first watch after a pause between watches ends after 0.7 s. Limit: a departure that only the store had when it was restored, and whose node ends before it writes it again, is lost.

--- a/src/pollenhall_sidecar/change_feed.cpp
+++ b/src/pollenhall_sidecar/change_feed.cpp
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include <charconv>
+#include <limits>
 
 namespace pollenhall::sidecar
 {
@@ -49,6 +50,7 @@
     return std::string(changes_path) +
            "?after=" + std::to_string(request.after.number()) +
            "&era=" + std::to_string(request.after.era().value()) +
+           "&version=" + std::to_string(request.version.value()) +
            "&wait_ms=" + std::to_string(request.wait.count());
 }
 
@@ -63,6 +65,8 @@
              {"complete", report.changes.complete},
              {"current", report.current},
              {"items", items}};
+    if (report.newer_configuration)
+        out["configuration"] = *report.newer_configuration;
     // Values of other writers may be invalid UTF-8. They can't be parsed as
     // entries in any case, so replacing bytes loses nothing.
     return out.dump(-1, ' ', false, json::error_handler_t::replace);
@@ -80,6 +84,8 @@
                             in.at("at").get<std::int64_t>(), era),
                         .complete = in.at("complete").get<bool>()},
             .current = in.at("current").get<bool>()};
+        if (auto const found = in.find("configuration"); found != in.end())
+            report.newer_configuration = found->get<std::string>();
         for (auto const& row : in.at("items"))
         {
             store_item item{
@@ -134,17 +140,22 @@
             .add("from", from->remote_host());
         return from->respond({.status = 404}, false);
     }
-    // Nodes of earlier builds know no eras.
+    // Nodes of earlier builds know no eras and take no configuration that the
+    // store does not have.
     auto const known = mirror_.revision();
     changes_request const wanted{
         .after = store_revision(*after,
                                 store_era(query_number(request.target, "era=")
                                               .value_or(known.era().value()))),
-        .wait = milliseconds(std::min(*wait, max_wait_ms))};
+        .wait = milliseconds(std::min(*wait, max_wait_ms)),
+        .version = mesh::config_version(
+            query_number(request.target, "version=")
+                .value_or(std::numeric_limits<std::int64_t>::max()))};
     bool const is_behind = wanted.after.era() > known.era();
     if (is_behind && on_later_era_)
         on_later_era_(mesh::host_address(from->remote_host()));
-    if (!current_ || *wait == 0 || known > wanted.after || is_behind)
+    if (!current_ || *wait == 0 || known > wanted.after || is_behind ||
+        has_newer_configuration(wanted))
         return respond(from, wanted);
     auto const request_id = ++last_request_id_;
     pending_.emplace(
@@ -160,10 +171,25 @@
 {
     change_report report{.changes = mirror_.changes_after(request.after),
                          .current = current_};
+    if (has_newer_configuration(request))
+        report.newer_configuration = unstored_configuration_;
     auto const text = write_changes(report);
     to->respond({.status = 200, .body = text}, false);
 }
 
+bool change_feed::has_newer_configuration(changes_request const& request) const
+{
+    return !unstored_configuration_.empty() &&
+           unstored_version_ > request.version;
+}
+
+void change_feed::set_unstored_configuration(mesh::config_version version,
+                                             std::string document)
+{
+    unstored_version_ = version;
+    unstored_configuration_ = std::move(document);
+}
+
 void change_feed::set_later_era_handler(
     std::function<void(mesh::host_address const&)> handler)
 {
--- a/src/pollenhall_sidecar/change_feed.hpp
+++ b/src/pollenhall_sidecar/change_feed.hpp
@@ -7,6 +7,7 @@
 #include "server_connection.hpp"
 #include "shared_store.hpp"
 
+#include <pollenhall/mesh/configuration.hpp>
 #include <pollenhall/mesh/placement.hpp>
 
 #include <map>
@@ -21,6 +22,9 @@
     // Whether the responding node receives changes from the store, or from a
     // peer that does.
     bool current = false;
+    // The configuration in force on the responding node, if it is newer than
+    // the one in the store and than that of the requesting node.
+    std::optional<std::string> newer_configuration{};
 };
 
 /// Request of a node for the changes that it has missed.
@@ -29,6 +33,8 @@
     store_revision after;
     // The peer may hold the response for so long if there are none.
     milliseconds wait{0};
+    // Version of the configuration in force on the requesting node.
+    mesh::config_version version;
 };
 
 /// Writes a report as JSON.
@@ -52,6 +58,10 @@
     /// requests get an immediate response, so that peers can turn to another
     /// node.
     void set_current(bool current);
+    /// Sets the configuration in force if the store has only an older one, as
+    /// after it has come back from an older copy; otherwise an empty document.
+    void set_unstored_configuration(mesh::config_version version,
+                                    std::string document);
     /// Sets a handler that is called when a peer knows a later era of the
     /// store.
     void set_later_era_handler(
@@ -72,6 +82,9 @@
                mesh::http_request const& request);
     void respond(std::shared_ptr<server_exchange> const& to,
                  changes_request const& request) const;
+    // Whether the unstored configuration is news for the requesting node.
+    [[nodiscard]] bool
+    has_newer_configuration(changes_request const& request) const;
     void on_timeout(std::uint64_t request_id);
 
     deadline_timers& timers_;
@@ -81,6 +94,9 @@
     std::uint64_t last_request_id_ = 0;
     bool current_ = false;
     std::function<void(mesh::host_address const&)> on_later_era_;
+    mesh::config_version unstored_version_;
+    // Empty if the store has the configuration in force.
+    std::string unstored_configuration_;
 };
 
 } // namespace pollenhall::sidecar
--- a/src/pollenhall_sidecar/control_node.cpp
+++ b/src/pollenhall_sidecar/control_node.cpp
@@ -28,6 +28,9 @@
 // How often the node checks for an available peer while it backs off from the
 // store.
 constexpr milliseconds peer_recheck_interval{200};
+// How long entries that the store has lost are in use. Hosts that live and
+// reach the store have written theirs again by then.
+constexpr milliseconds lost_entry_lifetime{2'000};
 // Time that the upstream has to send its first heartbeat before its health
 // endpoint is called.
 constexpr milliseconds first_heartbeat_timeout{200};
@@ -94,13 +97,14 @@
                     }
                     on_store_response();
                     must_read_store_ = false;
+                    watch_confirmed_ = false;
                     must_read_own_entry_ = false;
                     apply_changes(*items, "store");
                     set_receiving_changes(true);
                     publish_entry();
                     // No other node has started yet. If all nodes of an older
                     // fleet start again, a delay would prolong the recovery.
-                    if (hosts_.empty())
+                    if (hosts_.empty() && lost_hosts_.empty())
                     {
                         startup_end_ = mono_now() + options_.watch.startup_time;
                         postpone_watch();
@@ -176,8 +180,10 @@
         random_() %
         static_cast<std::uint64_t>(
             (options_.watch.max_wait - options_.watch.min_wait).count()))};
-    store_.watch(layout_.common_prefix, mirror_.revision(),
-                 options_.watch.min_wait + jitter,
+    auto const wait = watch_confirmed_ ? options_.watch.min_wait + jitter
+                                       : std::min(options_.watch.first_wait,
+                                                  options_.watch.min_wait);
+    store_.watch(layout_.common_prefix, mirror_.revision(), wait,
                  [this](absl::StatusOr<store_items> changes)
                  {
                      if (!changes.ok())
@@ -186,13 +192,14 @@
                          return retry_after_store_error();
                      }
                      on_store_response();
+                     history_gone_delay_ = milliseconds{0};
                      set_receiving_changes(true);
                      apply_changes(*changes, "store");
                      publish_entry();
-                     if (!changes->items.empty())
+                     watch_confirmed_ = changes->items.empty();
+                     if (!watch_confirmed_)
                          postpone_watch();
                      wait_for_changes();
-                     history_gone_delay_ = milliseconds{0};
                  });
 }
 
@@ -216,7 +223,8 @@
                                   absl::Status const& status)
 {
     // The store is reachable but does not have the history after the requested
-    // revision.
+    // revision. The first read follows at once. If the store has no history
+    // after that either, further ones are delayed.
     if (status.code() == absl::StatusCode::kOutOfRange)
     {
         log_event("store_history_gone", log_level::warning)
@@ -276,6 +284,8 @@
 {
     auto const own_key = layout_.hosts_prefix + options_.host.value();
     auto const before = mirror_.revision();
+    auto const known_hosts =
+        update.revision.era() > before.era() ? hosts_ : host_entries{};
     auto const changes = mirror_.apply(update);
     metrics_.set_store_revision(mirror_.revision().number());
     if (update.complete)
@@ -302,6 +312,7 @@
         else if (item.key.starts_with(layout_.hosts_prefix))
         {
             apply_host(item);
+            lost_hosts_.erase(host_of_key(item.key));
             hosts_changed = true;
         }
     }
@@ -315,7 +326,8 @@
         own_changed = true;
     }
     if (mirror_.revision().era() > before.era())
-        on_era_changed(before);
+        on_era_changed(before, known_hosts);
+    offer_unstored_configuration();
     if (!own_entry_known_ && mirror_.revision() > store_revision())
         read_acknowledged_upstream();
     else if (own_changed)
@@ -326,7 +338,8 @@
         change_feed_.on_change();
 }
 
-void control_node::on_era_changed(store_revision known)
+void control_node::on_era_changed(store_revision known,
+                                  host_entries const& known_hosts)
 {
     metrics_.set_store_era(mirror_.revision().era().value());
     // The first response names the era, too.
@@ -337,6 +350,64 @@
         .add("revision", mirror_.revision().number())
         .add("known_era", known.era().value())
         .add("known_revision", known.number());
+    use_lost_entries(known_hosts);
+    // Relays do so for all others.
+    if (relays_.is_default_relay())
+        keep_lost_departures(known_hosts);
+}
+
+void control_node::use_lost_entries(host_entries const& known_hosts)
+{
+    for (auto const& [host, entry] : known_hosts)
+    {
+        auto const stored = hosts_.find(host);
+        if (host != options_.host &&
+            (stored == hosts_.end() || stored->second != entry))
+            lost_hosts_.insert_or_assign(host, entry);
+    }
+    if (lost_hosts_.empty())
+        return;
+    timers_.after(
+        lost_entry_lifetime,
+        [this, era = mirror_.revision().era()]
+        {
+            if (lost_hosts_.empty() || era != mirror_.revision().era())
+                return;
+            log_event("lost_entries_dropped", log_level::warning)
+                .add("hosts", static_cast<std::int64_t>(lost_hosts_.size()));
+            lost_hosts_.clear();
+            publish_hosts();
+        });
+}
+
+void control_node::keep_lost_departures(host_entries const& known_hosts)
+{
+    bool const was_empty = departures_.empty();
+    for (auto const& [host, entry] : known_hosts)
+    {
+        auto const stored = hosts_.find(host);
+        if (host == options_.host || !(entry.draining || entry.left) ||
+            (stored != hosts_.end() &&
+             mesh::contains_departure(stored->second, entry)))
+            continue;
+        log_event("departure_kept")
+            .add("host", host.value())
+            .add("incarnation", entry.incarnation.value())
+            .add("draining", entry.draining)
+            .add("left", entry.left);
+        departures_.keep(entry, mono_now());
+    }
+    if (was_empty && !departures_.empty())
+        schedule_kept_entries();
+}
+
+void control_node::offer_unstored_configuration()
+{
+    auto const* stored = mirror_.find(layout_.configuration_key);
+    bool const is_stored =
+        stored != nullptr && *stored == configuration_document_;
+    change_feed_.set_unstored_configuration(
+        version(), is_stored ? std::string() : configuration_document_);
 }
 
 void control_node::apply_configuration(std::string const& text,
@@ -365,6 +436,8 @@
         .add("routes", static_cast<std::int64_t>(decoded->routes.size()));
     bool const is_first = !routes_;
     routes_ = std::make_shared<mesh::route_table const>(std::move(*decoded));
+    configuration_document_ = text;
+    offer_unstored_configuration();
     traffic_.set_routes(routes_);
     metrics_.set_configuration_version(version().value());
     if (is_first)
@@ -372,9 +445,14 @@
                       [this] { check_upstream_health(); });
 }
 
+mesh::host_address control_node::host_of_key(std::string const& key) const
+{
+    return mesh::host_address(key.substr(layout_.hosts_prefix.size()));
+}
+
 void control_node::apply_host(store_item const& item)
 {
-    mesh::host_address const host(item.key.substr(layout_.hosts_prefix.size()));
+    auto const host = host_of_key(item.key);
     if (!item.value)
     {
         hosts_.erase(host);
@@ -421,10 +499,12 @@
 void control_node::publish_hosts()
 {
     std::vector<mesh::host_entry> all;
-    all.reserve(hosts_.size() + 1);
+    all.reserve(hosts_.size() + lost_hosts_.size() + 1);
     for (auto const& [host, entry] : hosts_)
-        if (host != options_.host)
+        if (host != options_.host && !lost_hosts_.contains(host))
             all.push_back(entry);
+    for (auto const& [host, entry] : lost_hosts_)
+        all.push_back(entry);
     // The entry of this host comes from the registration, which is newer than
     // the store.
     if (registration_.current() && upstream_is_trusted())
--- a/src/pollenhall_sidecar/control_node.hpp
+++ b/src/pollenhall_sidecar/control_node.hpp
@@ -112,11 +112,22 @@
     // the store.
     void set_receiving_changes(bool receiving);
     void apply_changes(store_items const& update, std::string_view source);
-    // The store has come back from an older copy; `known` is the last known
-    // revision of the era before.
-    void on_era_changed(store_revision known);
+    using host_entries = std::map<mesh::host_address, mesh::host_entry>;
+    // The store has come back from an older copy. `known` and `known_hosts` are
+    // what was known before.
+    void on_era_changed(store_revision known, host_entries const& known_hosts);
+    // Goes on using the entries that the store has lost for a while. Hosts that
+    // live write theirs again.
+    void use_lost_entries(host_entries const& known_hosts);
+    // Keeps the departures that the store has lost for later processes of their
+    // nodes.
+    void keep_lost_departures(host_entries const& known_hosts);
     void apply_configuration(std::string const& text, std::string_view source);
+    // Tells peers of the configuration in force if the store has an older one.
+    void offer_unstored_configuration();
     void apply_host(store_item const& item);
+    // The host whose entry has this key.
+    [[nodiscard]] mesh::host_address host_of_key(std::string const& key) const;
     // Reads what an earlier process of this node acknowledged to the upstream.
     void read_acknowledged_upstream();
     // Another process has written the entry of this host.
@@ -204,7 +215,14 @@
     mesh::store_relays relays_;
     mesh::vanished_hosts vanished_;
     std::shared_ptr<mesh::route_table const> routes_;
-    std::map<mesh::host_address, mesh::host_entry> hosts_;
+    // Document of the configuration in force. The store may lose it.
+    std::string configuration_document_;
+    // As the store has them.
+    host_entries hosts_;
+    // Entries of an earlier era of the store that it has lost or has in an
+    // older state. They replace those in hosts_ until the host writes its
+    // entry.
+    host_entries lost_hosts_;
     mesh::upstream_registration registration_;
     // Whether the entry of this host, or its absence, is known from the store.
     bool own_entry_known_ = false;
@@ -253,7 +271,13 @@
     mono_time startup_end_{};
     // Current backoff between calls to a failing store; 0 after a success.
     milliseconds retry_delay_{0};
+    // Delay before the next read after the store had no history for a watch; 0
+    // after a watch that has returned changes or none.
+    milliseconds history_gone_delay_{0};
     mono_time next_store_attempt_{};
+    // Whether the store has responded to a watch since the last pause between
+    // watches.
+    bool watch_confirmed_ = false;
     // Changes may have been missed: the store must be read completely before
     // it is watched again.
     bool must_read_store_ = true;
@@ -266,6 +290,3 @@
 };
 
 } // namespace pollenhall::sidecar
-    // Delay before the next read after the store had no history for a watch; 0
-    // after a watch that has returned changes or none.
-    milliseconds history_gone_delay_{0};
--- a/src/pollenhall_sidecar/control_peers.cpp
+++ b/src/pollenhall_sidecar/control_peers.cpp
@@ -149,7 +149,8 @@
 {
     mesh::http_request request{
         .method = "GET",
-        .target = changes_target({.after = mirror_.revision(), .wait = wait})};
+        .target = changes_target(
+            {.after = mirror_.revision(), .wait = wait, .version = version()})};
     request.fields.add("Host", host.value());
     peer_pool(host).start({.bytes = mesh::write_request(request),
                            .deadline = mono_now() + wait + peer_timeout,
@@ -215,6 +216,8 @@
     bool const is_behind =
         report->changes.revision.era() < mirror_.revision().era();
     apply_changes(report->changes, "peer");
+    if (report->newer_configuration)
+        apply_configuration(*report->newer_configuration, "peer");
     return report->current && !is_behind;
 }
 
--- a/src/pollenhall_sidecar/node_options.hpp
+++ b/src/pollenhall_sidecar/node_options.hpp
@@ -23,6 +23,10 @@
     /// Delay between a watch that returned events and the next watch, so that
     /// the entries of many starting hosts arrive in a few batches.
     milliseconds batch_delay{300};
+    /// Wait of the first watch after such a delay, in place of the range above.
+    /// A store that was restored from an older copy during the delay may accept
+    /// the watch, and names its new era only when the watch ends.
+    milliseconds first_wait{700};
     /// The same within `startup_time` after a node has found no hosts in the
     /// store. All nodes watch it until they know the relays of their zone, and
     /// the upstreams of a new fleet announce themselves over seconds.
