--- a/src/pollenhall_sidecar/control_node.cpp
+++ b/src/pollenhall_sidecar/control_node.cpp
@@ -18,6 +18,9 @@
 // restored within 2 s of the store's recovery.
 constexpr milliseconds min_store_retry_delay{50};
 constexpr milliseconds max_store_retry_delay{800};
+// The same while the store has no history for any watch: only complete reads
+// deliver changes then, and a configuration must be in force within 2 s.
+constexpr milliseconds max_history_gone_delay{1'000};
 // The same for a node that usually receives changes from peers (a follower). It
 // is longer, because all followers call the store at once when it is
 // unavailable.
@@ -25,6 +28,9 @@
 // How often the node checks for an available peer while it backs off from the
 // store.
 constexpr milliseconds peer_recheck_interval{200};
+// How long entries that the store has lost are in use. Hosts that live and
+// reach the store have written theirs again by then.
+constexpr milliseconds lost_entry_lifetime{2'000};
 // Time that the upstream has to send its first heartbeat before its health
 // endpoint is called.
 constexpr milliseconds first_heartbeat_timeout{200};
@@ -56,6 +62,8 @@
                         std::to_string(options_.upstream.port())),
       departure_replicas_({.own_host = options_.host}), departures_({})
 {
+    change_feed_.set_later_era_handler([this](mesh::host_address const& peer)
+                                       { poll_peer(peer); });
 }
 
 void control_node::start()
@@ -89,13 +97,14 @@
                     }
                     on_store_response();
                     must_read_store_ = false;
+                    watch_confirmed_ = false;
                     must_read_own_entry_ = false;
                     apply_changes(*items, "store");
                     set_receiving_changes(true);
                     publish_entry();
                     // No other node has started yet. If all nodes of an older
                     // fleet start again, a delay would prolong the recovery.
-                    if (hosts_.empty())
+                    if (hosts_.empty() && lost_hosts_.empty())
                     {
                         startup_end_ = mono_now() + options_.watch.startup_time;
                         postpone_watch();
@@ -118,12 +127,34 @@
     must_read_store_ = true;
     next_store_attempt_ =
         mono_now() +
-        (relays_.is_default_relay()
+        (relays_.is_default_relay() || store_reachable_
              ? retry_delay_
              : std::max(retry_delay_, jittered(max_follower_retry_delay)));
     wait_for_changes();
 }
 
+void control_node::read_later_era()
+{
+    if (reading_later_era_ || store_.era() <= mirror_.revision().era())
+        return;
+    reading_later_era_ = true;
+    store_.read(layout_.common_prefix,
+                [this](absl::StatusOr<store_items> items)
+                {
+                    reading_later_era_ = false;
+                    if (items.ok())
+                    {
+                        apply_changes(*items, "store");
+                        return publish_entry();
+                    }
+                    log_event("store_lost", log_level::warning)
+                        .add("call", "read_later_era")
+                        .add("error", std::string(items.status().message()));
+                    timers_.after(jittered(max_store_retry_delay),
+                                  [this] { read_later_era(); });
+                });
+}
+
 void control_node::wait_for_changes_later(milliseconds delay)
 {
     timers_.after(delay, [this] { wait_for_changes(); });
@@ -149,8 +180,10 @@
         random_() %
         static_cast<std::uint64_t>(
             (options_.watch.max_wait - options_.watch.min_wait).count()))};
-    store_.watch(layout_.common_prefix, mirror_.revision(),
-                 options_.watch.min_wait + jitter,
+    auto const wait = watch_confirmed_ ? options_.watch.min_wait + jitter
+                                       : std::min(options_.watch.first_wait,
+                                                  options_.watch.min_wait);
+    store_.watch(layout_.common_prefix, mirror_.revision(), wait,
                  [this](absl::StatusOr<store_items> changes)
                  {
                      if (!changes.ok())
@@ -159,10 +192,12 @@
                          return retry_after_store_error();
                      }
                      on_store_response();
+                     history_gone_delay_ = milliseconds{0};
                      set_receiving_changes(true);
                      apply_changes(*changes, "store");
                      publish_entry();
-                     if (!changes->items.empty())
+                     watch_confirmed_ = changes->items.empty();
+                     if (!watch_confirmed_)
                          postpone_watch();
                      wait_for_changes();
                  });
@@ -175,10 +210,10 @@
     receiving_changes_ = receiving;
     if (receiving)
         log_event("store_news_regained")
-            .add("revision", mirror_.revision().value());
+            .add("revision", mirror_.revision().number());
     else
         log_event("store_news_lost", log_level::warning)
-            .add("revision", mirror_.revision().value());
+            .add("revision", mirror_.revision().number());
     change_feed_.set_current(receiving && !stopping_);
     if (!receiving)
         schedule_peer_poll();
@@ -187,19 +222,29 @@
 void control_node::on_store_error(std::string_view call,
                                   absl::Status const& status)
 {
-    // The store is reachable but has compacted the requested revision.
+    // The store is reachable but does not have the history after the requested
+    // revision. The first read follows at once. If the store has no history
+    // after that either, further ones are delayed.
     if (status.code() == absl::StatusCode::kOutOfRange)
     {
         log_event("store_history_gone", log_level::warning)
-            .add("revision", mirror_.revision().value());
-        retry_delay_ = milliseconds{0};
+            .add("call", call)
+            .add("error", std::string(status.message()))
+            .add("revision", mirror_.revision().number())
+            .add("era", mirror_.revision().era().value())
+            .add("store_era", store_.era().value())
+            .add("delay_ms", history_gone_delay_.count());
+        retry_delay_ = history_gone_delay_;
+        history_gone_delay_ =
+            jittered(std::clamp(history_gone_delay_ * 2, min_store_retry_delay,
+                                max_history_gone_delay));
         return;
     }
     if (store_reachable_ || retry_delay_.count() == 0)
         log_event("store_lost", log_level::warning)
             .add("call", call)
             .add("error", std::string(status.message()))
-            .add("revision", mirror_.revision().value());
+            .add("revision", mirror_.revision().number());
     store_reachable_ = false;
     if (store_contact_ == store_contact::pending)
         store_contact_ = store_contact::after_failure;
@@ -221,7 +266,8 @@
 void control_node::on_store_response()
 {
     if (!store_reachable_)
-        log_event("store_regained").add("revision", mirror_.revision().value());
+        log_event("store_regained")
+            .add("revision", mirror_.revision().number());
     store_reachable_ = true;
     metrics_.set_store_reachable(true);
     retry_delay_ = milliseconds{0};
@@ -238,7 +284,19 @@
 {
     auto const own_key = layout_.hosts_prefix + options_.host.value();
     auto const before = mirror_.revision();
+    auto const known_hosts =
+        update.revision.era() > before.era() ? hosts_ : host_entries{};
     auto const changes = mirror_.apply(update);
+    metrics_.set_store_revision(mirror_.revision().number());
+    if (update.complete)
+        log_event("store_content_read")
+            .add("source", source)
+            .add("revision", update.revision.number())
+            .add("era", update.revision.era().value())
+            .add("known_revision", before.number())
+            .add("known_era", before.era().value())
+            .add("items", static_cast<std::int64_t>(update.items.size()))
+            .add("changed", static_cast<std::int64_t>(changes.size()));
     bool hosts_changed = false;
     bool own_changed = false;
     for (auto const& item : changes)
@@ -254,9 +312,22 @@
         else if (item.key.starts_with(layout_.hosts_prefix))
         {
             apply_host(item);
+            lost_hosts_.erase(host_of_key(item.key));
             hosts_changed = true;
         }
     }
+    // A complete update does not list a key that the mirror never had.
+    if (update.complete && published_entry_ &&
+        mirror_.find(own_key) == nullptr &&
+        mirror_.revision() >= published_revision_)
+    {
+        published_entry_.reset();
+        published_revision_ = store_revision();
+        own_changed = true;
+    }
+    if (mirror_.revision().era() > before.era())
+        on_era_changed(before, known_hosts);
+    offer_unstored_configuration();
     if (!own_entry_known_ && mirror_.revision() > store_revision())
         read_acknowledged_upstream();
     else if (own_changed)
@@ -267,6 +338,78 @@
         change_feed_.on_change();
 }
 
+void control_node::on_era_changed(store_revision known,
+                                  host_entries const& known_hosts)
+{
+    metrics_.set_store_era(mirror_.revision().era().value());
+    // The first response names the era, too.
+    if (known == store_revision())
+        return;
+    log_event("store_restored", log_level::warning)
+        .add("era", mirror_.revision().era().value())
+        .add("revision", mirror_.revision().number())
+        .add("known_era", known.era().value())
+        .add("known_revision", known.number());
+    use_lost_entries(known_hosts);
+    // Relays do so for all others.
+    if (relays_.is_default_relay())
+        keep_lost_departures(known_hosts);
+}
+
+void control_node::use_lost_entries(host_entries const& known_hosts)
+{
+    for (auto const& [host, entry] : known_hosts)
+    {
+        auto const stored = hosts_.find(host);
+        if (host != options_.host &&
+            (stored == hosts_.end() || stored->second != entry))
+            lost_hosts_.insert_or_assign(host, entry);
+    }
+    if (lost_hosts_.empty())
+        return;
+    timers_.after(
+        lost_entry_lifetime,
+        [this, era = mirror_.revision().era()]
+        {
+            if (lost_hosts_.empty() || era != mirror_.revision().era())
+                return;
+            log_event("lost_entries_dropped", log_level::warning)
+                .add("hosts", static_cast<std::int64_t>(lost_hosts_.size()));
+            lost_hosts_.clear();
+            publish_hosts();
+        });
+}
+
+void control_node::keep_lost_departures(host_entries const& known_hosts)
+{
+    bool const was_empty = departures_.empty();
+    for (auto const& [host, entry] : known_hosts)
+    {
+        auto const stored = hosts_.find(host);
+        if (host == options_.host || !(entry.draining || entry.left) ||
+            (stored != hosts_.end() &&
+             mesh::contains_departure(stored->second, entry)))
+            continue;
+        log_event("departure_kept")
+            .add("host", host.value())
+            .add("incarnation", entry.incarnation.value())
+            .add("draining", entry.draining)
+            .add("left", entry.left);
+        departures_.keep(entry, mono_now());
+    }
+    if (was_empty && !departures_.empty())
+        schedule_kept_entries();
+}
+
+void control_node::offer_unstored_configuration()
+{
+    auto const* stored = mirror_.find(layout_.configuration_key);
+    bool const is_stored =
+        stored != nullptr && *stored == configuration_document_;
+    change_feed_.set_unstored_configuration(
+        version(), is_stored ? std::string() : configuration_document_);
+}
+
 void control_node::apply_configuration(std::string const& text,
                                        std::string_view source)
 {
@@ -279,7 +422,13 @@
         return;
     }
     if (decoded->version <= version())
+    {
+        log_event("configuration_not_newer")
+            .add("source", source)
+            .add("version", decoded->version.value())
+            .add("in_force", version().value());
         return;
+    }
     log_event("configuration_in_force")
         .add("source", source)
         .add("version", decoded->version.value())
@@ -287,6 +436,8 @@
         .add("routes", static_cast<std::int64_t>(decoded->routes.size()));
     bool const is_first = !routes_;
     routes_ = std::make_shared<mesh::route_table const>(std::move(*decoded));
+    configuration_document_ = text;
+    offer_unstored_configuration();
     traffic_.set_routes(routes_);
     metrics_.set_configuration_version(version().value());
     if (is_first)
@@ -294,9 +445,14 @@
                       [this] { check_upstream_health(); });
 }
 
+mesh::host_address control_node::host_of_key(std::string const& key) const
+{
+    return mesh::host_address(key.substr(layout_.hosts_prefix.size()));
+}
+
 void control_node::apply_host(store_item const& item)
 {
-    mesh::host_address const host(item.key.substr(layout_.hosts_prefix.size()));
+    auto const host = host_of_key(item.key);
     if (!item.value)
     {
         hosts_.erase(host);
@@ -307,7 +463,7 @@
     {
         log_event("host_entry_ignored", log_level::warning)
             .add("key", item.key)
-            .add("revision", item.revision.value())
+            .add("revision", item.revision.number())
             .add("error", entry.ok() ? "address differs from key"
                                      : std::string(entry.status().message()));
         return;
@@ -343,10 +499,12 @@
 void control_node::publish_hosts()
 {
     std::vector<mesh::host_entry> all;
-    all.reserve(hosts_.size() + 1);
+    all.reserve(hosts_.size() + lost_hosts_.size() + 1);
     for (auto const& [host, entry] : hosts_)
-        if (host != options_.host)
+        if (host != options_.host && !lost_hosts_.contains(host))
             all.push_back(entry);
+    for (auto const& [host, entry] : lost_hosts_)
+        all.push_back(entry);
     // The entry of this host comes from the registration, which is newer than
     // the store.
     if (registration_.current() && upstream_is_trusted())
@@ -356,7 +514,7 @@
         .add("ready",
              std::count_if(all.begin(), all.end(),
                            [](auto const& item) { return item.ready; }))
-        .add("revision", mirror_.revision().value());
+        .add("revision", mirror_.revision().number());
     relays_.set_hosts(all);
     traffic_.set_hosts(std::move(all));
 }
@@ -410,65 +568,73 @@
     }
     writing_ = true;
     auto const key = layout_.hosts_prefix + options_.host.value();
-    store_.write(key, text, published_revision_,
-                 [this, key, text](absl::StatusOr<store_revision> written)
-                 {
-                     writing_ = false;
-                     if (written.ok())
-                     {
-                         on_store_response();
-                         published_entry_ = text;
-                         published_revision_ = *written;
-                         mirror_.apply({.items = {{.key = key,
-                                                   .value = text,
-                                                   .revision = *written}},
-                                        .revision = mirror_.revision()});
-                         log_event("host_entry_written")
-                             .add("revision", written->value())
-                             .add("ready", own_entry().ready);
-                         check_departure();
-                         return publish_entry();
-                     }
-                     log_event("host_entry_not_written", log_level::warning)
-                         .add("error", std::string(written.status().message()));
-                     // The revision did not match or the outcome is unknown:
-                     // the key is read before the next write.
-                     must_read_own_entry_ = true;
-                     read_own_entry();
-                 });
+    store_.write(
+        key, text, published_revision_,
+        [this, key, text](absl::StatusOr<store_revision> written)
+        {
+            writing_ = false;
+            read_later_era();
+            // A write of an earlier era may have been lost.
+            if (written.ok() && written->era() >= mirror_.revision().era())
+            {
+                on_store_response();
+                published_entry_ = text;
+                published_revision_ = *written;
+                if (written->era() == mirror_.revision().era())
+                    mirror_.apply({.items = {{.key = key,
+                                              .value = text,
+                                              .revision = *written}},
+                                   .revision = mirror_.revision()});
+                log_event("host_entry_written")
+                    .add("revision", written->number())
+                    .add("ready", own_entry().ready);
+                check_departure();
+                return publish_entry();
+            }
+            log_event("host_entry_not_written", log_level::warning)
+                .add("error", written.ok()
+                                  ? "written before the store was restored"
+                                  : std::string(written.status().message()));
+            // The revision did not match or the outcome is unknown:
+            // the key is read before the next write.
+            must_read_own_entry_ = true;
+            read_own_entry();
+        });
 }
 
 void control_node::read_own_entry()
 {
-    timers_.after(std::max(retry_delay_, min_store_retry_delay),
-                  [this]
-                  {
-                      auto const key =
-                          layout_.hosts_prefix + options_.host.value();
-                      store_.read(key,
-                                  [this, key](absl::StatusOr<store_items> items)
-                                  {
-                                      if (!items.ok())
-                                      {
-                                          on_store_error("read_own_entry",
-                                                         items.status());
-                                          return read_own_entry();
-                                      }
-                                      must_read_own_entry_ = false;
-                                      published_entry_.reset();
-                                      published_revision_ = store_revision();
-                                      for (auto const& item : items->items)
-                                          if (item.key == key)
-                                          {
-                                              published_entry_ = item.value;
-                                              published_revision_ =
-                                                  item.revision;
-                                              apply_host(item);
-                                          }
-                                      on_own_entry_changed();
-                                      publish_entry();
-                                  });
-                  });
+    timers_.after(
+        std::max(retry_delay_, min_store_retry_delay),
+        [this]
+        {
+            auto const key = layout_.hosts_prefix + options_.host.value();
+            store_.read(
+                key,
+                [this, key](absl::StatusOr<store_items> items)
+                {
+                    read_later_era();
+                    if (!items.ok())
+                    {
+                        on_store_error("read_own_entry", items.status());
+                        return read_own_entry();
+                    }
+                    if (items->revision.era() < mirror_.revision().era())
+                        return read_own_entry();
+                    must_read_own_entry_ = false;
+                    published_entry_.reset();
+                    published_revision_ = store_revision();
+                    for (auto const& item : items->items)
+                        if (item.key == key)
+                        {
+                            published_entry_ = item.value;
+                            published_revision_ = item.revision;
+                            apply_host(item);
+                        }
+                    on_own_entry_changed();
+                    publish_entry();
+                });
+        });
 }
 
 void control_node::upstream_changed(std::string_view cause)
--- a/src/pollenhall_sidecar/control_node.hpp
+++ b/src/pollenhall_sidecar/control_node.hpp
@@ -94,6 +94,9 @@
     // Meanwhile a relay may become known.
     void postpone_watch();
     void retry_after_store_error();
+    // Reads the store if a response has named a later era than that of the
+    // mirror. The watch that is open may take seconds to end.
+    void read_later_era();
     // A random time between half of `delay` and `delay`.
     [[nodiscard]] milliseconds jittered(milliseconds delay);
     void watch_store();
@@ -109,8 +112,22 @@
     // the store.
     void set_receiving_changes(bool receiving);
     void apply_changes(store_items const& update, std::string_view source);
+    using host_entries = std::map<mesh::host_address, mesh::host_entry>;
+    // The store has come back from an older copy. `known` and `known_hosts` are
+    // what was known before.
+    void on_era_changed(store_revision known, host_entries const& known_hosts);
+    // Goes on using the entries that the store has lost for a while. Hosts that
+    // live write theirs again.
+    void use_lost_entries(host_entries const& known_hosts);
+    // Keeps the departures that the store has lost for later processes of their
+    // nodes.
+    void keep_lost_departures(host_entries const& known_hosts);
     void apply_configuration(std::string const& text, std::string_view source);
+    // Tells peers of the configuration in force if the store has an older one.
+    void offer_unstored_configuration();
     void apply_host(store_item const& item);
+    // The host whose entry has this key.
+    [[nodiscard]] mesh::host_address host_of_key(std::string const& key) const;
     // Reads what an earlier process of this node acknowledged to the upstream.
     void read_acknowledged_upstream();
     // Another process has written the entry of this host.
@@ -198,7 +215,14 @@
     mesh::store_relays relays_;
     mesh::vanished_hosts vanished_;
     std::shared_ptr<mesh::route_table const> routes_;
-    std::map<mesh::host_address, mesh::host_entry> hosts_;
+    // Document of the configuration in force. The store may lose it.
+    std::string configuration_document_;
+    // As the store has them.
+    host_entries hosts_;
+    // Entries of an earlier era of the store that it has lost or has in an
+    // older state. They replace those in hosts_ until the host writes its
+    // entry.
+    host_entries lost_hosts_;
     mesh::upstream_registration registration_;
     // Whether the entry of this host, or its absence, is known from the store.
     bool own_entry_known_ = false;
@@ -247,10 +271,18 @@
     mono_time startup_end_{};
     // Current backoff between calls to a failing store; 0 after a success.
     milliseconds retry_delay_{0};
+    // Delay before the next read after the store had no history for a watch; 0
+    // after a watch that has returned changes or none.
+    milliseconds history_gone_delay_{0};
     mono_time next_store_attempt_{};
+    // Whether the store has responded to a watch since the last pause between
+    // watches.
+    bool watch_confirmed_ = false;
     // Changes may have been missed: the store must be read completely before
     // it is watched again.
     bool must_read_store_ = true;
+    // Whether read_later_era has a call open.
+    bool reading_later_era_ = false;
     int health_checks_ = 0;
     std::shared_ptr<client_pool> upstream_pool_;
     std::map<mesh::host_address, std::shared_ptr<client_pool>> peer_pools_;
