pollenhall-sidecar: a node in touch with the store does not rely on relays that are cut off

Seen from outside: with all nodes that watch the store cut off from it in silence, a node in touch served the older version for up to 3.1 s after the acknowledgement (bound 2 s). Cause: a relay noticed a cut only when its watch timed out, after 6.7 s at most, and said until then that it is up to date; its followers asked nobody else. Change: a watch waits 0.5 to 0.8 s instead of 3 to 6 s, and 0.5 s more for its response. This also bounds the time in which a restore goes unnoticed, so the shorter first watch goes.

--- a/src/pollenhall_sidecar/control_node.cpp
+++ b/src/pollenhall_sidecar/control_node.cpp
@@ -97,7 +97,6 @@
                     }
                     on_store_response();
                     must_read_store_ = false;
-                    watch_confirmed_ = false;
                     must_read_own_entry_ = false;
                     apply_changes(*items, "store");
                     set_receiving_changes(true);
@@ -180,10 +179,8 @@
         random_() %
         static_cast<std::uint64_t>(
             (options_.watch.max_wait - options_.watch.min_wait).count()))};
-    auto const wait = watch_confirmed_ ? options_.watch.min_wait + jitter
-                                       : std::min(options_.watch.first_wait,
-                                                  options_.watch.min_wait);
-    store_.watch(layout_.common_prefix, mirror_.revision(), wait,
+    store_.watch(layout_.common_prefix, mirror_.revision(),
+                 options_.watch.min_wait + jitter,
                  [this](absl::StatusOr<store_items> changes)
                  {
                      if (!changes.ok())
@@ -196,8 +193,7 @@
                      set_receiving_changes(true);
                      apply_changes(*changes, "store");
                      publish_entry();
-                     watch_confirmed_ = changes->items.empty();
-                     if (!watch_confirmed_)
+                     if (!changes->items.empty())
                          postpone_watch();
                      wait_for_changes();
                  });
--- a/src/pollenhall_sidecar/control_node.hpp
+++ b/src/pollenhall_sidecar/control_node.hpp
@@ -275,9 +275,6 @@
     // after a watch that has returned changes or none.
     milliseconds history_gone_delay_{0};
     mono_time next_store_attempt_{};
-    // Whether the store has responded to a watch since the last pause between
-    // watches.
-    bool watch_confirmed_ = false;
     // Changes may have been missed: the store must be read completely before
     // it is watched again.
     bool must_read_store_ = true;
--- a/src/pollenhall_sidecar/node_options.hpp
+++ b/src/pollenhall_sidecar/node_options.hpp
@@ -16,17 +16,14 @@
 struct store_watch_options
 {
     /// Each watch waits for a random time in this range. Only a few nodes of a
-    /// zone watch the store; with different waits one of them soon notices
-    /// connections that were lost without a reset.
-    milliseconds min_wait{3'000};
-    milliseconds max_wait{6'000};
+    /// zone watch the store, and all of these may be cut off from it without a
+    /// sign. The others must have a configuration within 2 s all the same, so
+    /// the watches end early enough for them to turn to the store.
+    milliseconds min_wait{500};
+    milliseconds max_wait{800};
     /// Delay between a watch that returned events and the next watch, so that
     /// the entries of many starting hosts arrive in a few batches.
     milliseconds batch_delay{300};
-    /// Wait of the first watch after such a delay, in place of the range above.
-    /// A store that was restored from an older copy during the delay may accept
-    /// the watch, and names its new era only when the watch ends.
-    milliseconds first_wait{700};
     /// The same within `startup_time` after a node has found no hosts in the
     /// store. All nodes watch it until they know the relays of their zone, and
     /// the upstreams of a new fleet announce themselves over seconds.
