pollenhall-sidecar: a peer that resets its connection does not end the process

Cause: a request for changes that names a later era of the store makes the node poll its sender. If the connection was reset before its address was read, the address is empty and make_address throws on the control thread. Change: poll_peer itself ignores an empty address, for all callers.

--- a/src/pollenhall_sidecar/control_peers.cpp
+++ b/src/pollenhall_sidecar/control_peers.cpp
@@ -86,9 +86,7 @@
 void control_node::on_newer_version(mesh::config_version version,
                                     mesh::host_address const& host)
 {
-    // The address of a peer is empty if its connection was reset before it was
-    // read.
-    if (polling_peer_ || version <= this->version() || host.value().empty())
+    if (polling_peer_ || version <= this->version())
         return;
     polling_peer_ = true;
     timers_.after(routes_ ? version_poll_delay : milliseconds{0},
@@ -120,7 +118,9 @@
 
 void control_node::poll_peer(mesh::host_address const& host)
 {
-    if (polling_peer_)
+    // The address of a peer is empty if its connection was reset before it was
+    // read.
+    if (polling_peer_ || host.value().empty())
         return;
     polling_peer_ = true;
     request_changes(host, milliseconds{0},
