pollenhall-sidecar: further orders of events around a restore of the store

Now the newer entry replaces an older one in the store until its host writes; only one that the store lacks is dropped.

--- a/src/include/pollenhall/mesh/departures.hpp
+++ b/src/include/pollenhall/mesh/departures.hpp
@@ -83,6 +83,8 @@
     /// others.
     std::vector<host_entry>
     pending(std::map<host_address, host_entry> const& stored, mono_time now);
+    /// Whether the entry that is kept for a host makes `departing` obsolete.
+    [[nodiscard]] bool contains(host_entry const& departing) const;
     [[nodiscard]] bool empty() const { return kept_.empty(); }
 
 private:
--- a/src/libpollenhall_mesh/departures.cpp
+++ b/src/libpollenhall_mesh/departures.cpp
@@ -114,6 +114,13 @@
                                       .expires = now + options_.lifetime});
 }
 
+bool departure_keeper::contains(host_entry const& departing) const
+{
+    auto const kept = kept_.find(departing.host);
+    return kept != kept_.end() &&
+           contains_departure(kept->second.entry, departing);
+}
+
 std::vector<host_entry>
 departure_keeper::pending(std::map<host_address, host_entry> const& stored,
                           mono_time now)
--- a/src/pollenhall_sidecar/control_node.cpp
+++ b/src/pollenhall_sidecar/control_node.cpp
@@ -140,9 +140,9 @@
     store_.read(layout_.common_prefix,
                 [this](absl::StatusOr<store_items> items)
                 {
-                    reading_later_era_ = false;
                     if (items.ok())
                     {
+                        reading_later_era_ = false;
                         apply_changes(*items, "store");
                         return publish_entry();
                     }
@@ -150,7 +150,11 @@
                         .add("call", "read_later_era")
                         .add("error", std::string(items.status().message()));
                     timers_.after(jittered(max_store_retry_delay),
-                                  [this] { read_later_era(); });
+                                  [this]
+                                  {
+                                      reading_later_era_ = false;
+                                      read_later_era();
+                                  });
                 });
 }
 
@@ -280,8 +284,13 @@
 {
     auto const own_key = layout_.hosts_prefix + options_.host.value();
     auto const before = mirror_.revision();
-    auto const known_hosts =
-        update.revision.era() > before.era() ? hosts_ : host_entries{};
+    host_entries known_hosts;
+    if (update.revision.era() > before.era())
+    {
+        // Entries that an earlier restore has lost are newer than the stored.
+        known_hosts = lost_hosts_;
+        known_hosts.insert(hosts_.begin(), hosts_.end());
+    }
     auto const changes = mirror_.apply(update);
     metrics_.set_store_revision(mirror_.revision().number());
     if (update.complete)
@@ -363,17 +372,22 @@
     }
     if (lost_hosts_.empty())
         return;
-    timers_.after(
-        lost_entry_lifetime,
-        [this, era = mirror_.revision().era()]
-        {
-            if (lost_hosts_.empty() || era != mirror_.revision().era())
-                return;
-            log_event("lost_entries_dropped", log_level::warning)
-                .add("hosts", static_cast<std::int64_t>(lost_hosts_.size()));
-            lost_hosts_.clear();
-            publish_hosts();
-        });
+    timers_.after(lost_entry_lifetime,
+                  [this, era = mirror_.revision().era()]
+                  {
+                      if (era != mirror_.revision().era())
+                          return;
+                      // An older entry in the store says nothing new: its host
+                      // would have written it again, too.
+                      auto const dropped = std::erase_if(
+                          lost_hosts_, [&](auto const& lost)
+                          { return !hosts_.contains(lost.first); });
+                      if (dropped == 0)
+                          return;
+                      log_event("lost_entries_dropped", log_level::warning)
+                          .add("hosts", static_cast<std::int64_t>(dropped));
+                      publish_hosts();
+                  });
 }
 
 void control_node::keep_lost_departures(host_entries const& known_hosts)
@@ -384,17 +398,20 @@
         auto const stored = hosts_.find(host);
         if (host == options_.host || !(entry.draining || entry.left) ||
             (stored != hosts_.end() &&
-             mesh::contains_departure(stored->second, entry)))
+             mesh::contains_departure(stored->second, entry)) ||
+            departures_.contains(entry))
             continue;
         log_event("departure_kept")
             .add("host", host.value())
             .add("incarnation", entry.incarnation.value())
             .add("draining", entry.draining)
             .add("left", entry.left);
+        write_kept_entry(entry);
         departures_.keep(entry, mono_now());
     }
+    // At once: the next process may have started already.
     if (was_empty && !departures_.empty())
-        schedule_kept_entries();
+        send_kept_entries();
 }
 
 void control_node::offer_unstored_configuration()
@@ -574,6 +591,7 @@
             if (written.ok() && written->era() >= mirror_.revision().era())
             {
                 on_store_response();
+                write_retry_delay_ = milliseconds{0};
                 published_entry_ = text;
                 published_revision_ = *written;
                 if (written->era() == mirror_.revision().era())
@@ -594,6 +612,9 @@
             // The revision did not match or the outcome is unknown:
             // the key is read before the next write.
             must_read_own_entry_ = true;
+            write_retry_delay_ = jittered(std::clamp(write_retry_delay_ * 2,
+                                                     min_store_retry_delay,
+                                                     max_store_retry_delay));
             read_own_entry();
         });
 }
@@ -601,7 +622,7 @@
 void control_node::read_own_entry()
 {
     timers_.after(
-        std::max(retry_delay_, min_store_retry_delay),
+        std::max({retry_delay_, write_retry_delay_, min_store_retry_delay}),
         [this]
         {
             auto const key = layout_.hosts_prefix + options_.host.value();
--- a/src/pollenhall_sidecar/control_node.hpp
+++ b/src/pollenhall_sidecar/control_node.hpp
@@ -271,6 +271,9 @@
     mono_time startup_end_{};
     // Current backoff between calls to a failing store; 0 after a success.
     milliseconds retry_delay_{0};
+    // The same for writes of the entry of this host, which may be refused while
+    // the store responds to reads.
+    milliseconds write_retry_delay_{0};
     // Delay before the next read after the store had no history for a watch; 0
     // after a watch that has returned changes or none.
     milliseconds history_gone_delay_{0};
@@ -278,7 +281,7 @@
     // Changes may have been missed: the store must be read completely before
     // it is watched again.
     bool must_read_store_ = true;
-    // Whether read_later_era has a call open.
+    // Whether read_later_era has a call open or is to make one.
     bool reading_later_era_ = false;
     int health_checks_ = 0;
     std::shared_ptr<client_pool> upstream_pool_;
