--- a/src/pollenhall_sidecar/control_peers.cpp
+++ b/src/pollenhall_sidecar/control_peers.cpp
@@ -86,9 +86,7 @@
 void control_node::on_newer_version(mesh::config_version version,
                                     mesh::host_address const& host)
 {
-    // The address of a peer is empty if its connection was reset before it was
-    // read.
-    if (polling_peer_ || version <= this->version() || host.value().empty())
+    if (polling_peer_ || version <= this->version())
         return;
     polling_peer_ = true;
     timers_.after(routes_ ? version_poll_delay : milliseconds{0},
@@ -120,7 +118,9 @@
 
 void control_node::poll_peer(mesh::host_address const& host)
 {
-    if (polling_peer_)
+    // The address of a peer is empty if its connection was reset before it was
+    // read.
+    if (polling_peer_ || host.value().empty())
         return;
     polling_peer_ = true;
     request_changes(host, milliseconds{0},
@@ -184,8 +184,9 @@
 {
     auto const key = layout_.hosts_prefix + host.value();
     store_.remove(key, mirror_.revision_of(key),
-                  [host](absl::StatusOr<store_revision> const& removed)
+                  [this, host](absl::StatusOr<store_revision> const& removed)
                   {
+                      read_later_era();
                       // A live host writes its entry again. If the removal
                       // fails, the host is probed again.
                       log_event("host_entry_removed", log_level::warning)
@@ -218,6 +219,7 @@
     apply_changes(report->changes, "peer");
     if (report->newer_configuration)
         apply_configuration(*report->newer_configuration, "peer");
+    publish_entry();
     return report->current && !is_behind;
 }
 
