store_mirror: a late response does not bring back a removed key

Cause: a response of a complete read that was made before the mirror's revision, but is delivered after it, names keys that have been removed since. If the mirror had never heard of such a key, or knew of a removal in an earlier era of the store, it took the key as new and kept it: no later watch reports the removal. Two complete reads may be open at a time (read_store, read_later_era), and a peer's response may come first. Change: an update older than the mirror adds no key that is absent from the mirror at its revision. Result: without the change both variants of the new subcase fail; if it covers only keys that the mirror has not heard of, the variant of the earlier era fails.

--- a/src/libpollenhall_mesh/store_mirror.cpp
+++ b/src/libpollenhall_mesh/store_mirror.cpp
@@ -49,6 +49,13 @@
         auto const known = entries_.find(item.key);
         if (known != entries_.end() && known->second.revision >= item.revision)
             continue;
+        // The update is older than the mirror, and the key has been removed
+        // since. The mirror may not have heard of it before.
+        bool const is_absent =
+            known == entries_.end() || !known->second.value.has_value();
+        if (is_absent && update.revision < revision_ &&
+            item.revision <= revision_)
+            continue;
         if (known != entries_.end() && !known->second.value)
         {
             auto const [first, last] =
--- a/src/libpollenhall_mesh/store_mirror_test.cpp
+++ b/src/libpollenhall_mesh/store_mirror_test.cpp
@@ -15,11 +15,12 @@
 using namespace pollenhall;
 using namespace pollenhall::mesh;
 
-store_item put(std::string key, std::string value, std::int64_t revision)
+store_item put(std::string key, std::string value, std::int64_t revision,
+               store_era era = store_era())
 {
     return {.key = std::move(key),
             .value = std::move(value),
-            .revision = store_revision(revision)};
+            .revision = store_revision(revision, era)};
 }
 store_item removed(std::string key, std::int64_t revision)
 {
@@ -120,6 +121,28 @@
         mirror.apply({.revision = store_revision(9), .complete = true});
         CHECK(mirror.find("c") != nullptr);
     }
+    SUBCASE("does not get back a removed key from a response that comes late")
+    {
+        store_era era;
+        SUBCASE("if it has not heard of the key") {}
+        SUBCASE("if it knows of a removal of the key in an earlier era")
+        {
+            mirror.apply({.items = {put("c", "0", 6), removed("c", 7)},
+                          .revision = store_revision(7)});
+            era = store_era(1);
+        }
+        auto const a = put("a", "1", 3, era);
+        auto const b = put("b", "1", 5, era);
+        mirror.apply({.items = {a, b},
+                      .revision = store_revision(7, era),
+                      .complete = true});
+        CHECK(mirror
+                  .apply({.items = {a, b, put("c", "1", 6, era)},
+                          .revision = store_revision(6, era),
+                          .complete = true})
+                  .empty());
+        CHECK(mirror.find("c") == nullptr);
+    }
     SUBCASE("returns all items, marked as complete, to a new node")
     {
         auto const all = mirror.changes_after(store_revision());
