--- a/Makefile
+++ b/Makefile
@@ -43,6 +43,9 @@
 	RC_PARAMS="seed=$(TEST_SEED) max_success=10000" \
 		$(BUILD)/src/libpollenhall_mesh/pollenhall_mesh_test \
 		-tc="an acknowledged departure holds in any order of events"
+	RC_PARAMS="seed=$(TEST_SEED) max_success=10000" \
+		$(BUILD)/src/libpollenhall_mesh/pollenhall_mesh_test \
+		-tc="mirrors of a store that comes back from older copies*"
 
 system: build
 	cd testsuite && $(PYTHON) run_all.py
