pollenhall-sidecar: a write of an earlier era than the latest named is lost

Cause: the result of a write, or of a read of the own entry, was compared with the era of the mirror. The client may already know a later era that is not read yet, and the store of that era may lack the entry; so a departure was acknowledged that no later process could find. Change: compared with the latest era that the store or a peer has named. The rest of the difference in control_node.cpp is the formatter's.

--- a/src/pollenhall_sidecar/control_node.cpp
+++ b/src/pollenhall_sidecar/control_node.cpp
@@ -133,6 +133,11 @@
     wait_for_changes();
 }
 
+store_era control_node::latest_era() const
+{
+    return std::max(store_.era(), mirror_.revision().era());
+}
+
 void control_node::read_later_era()
 {
     if (reading_later_era_ || store_.era() <= mirror_.revision().era())
@@ -568,73 +573,74 @@
     }
     writing_ = true;
     auto const key = layout_.hosts_prefix + options_.host.value();
-    store_.write(
-        key, text, published_revision_,
-        [this, key, text](absl::StatusOr<store_revision> written)
-        {
-            writing_ = false;
-            read_later_era();
-            // A write of an earlier era may have been lost.
-            if (written.ok() && written->era() >= mirror_.revision().era())
-            {
-                on_store_response();
-                published_entry_ = text;
-                published_revision_ = *written;
-                if (written->era() == mirror_.revision().era())
-                    mirror_.apply({.items = {{.key = key,
-                                              .value = text,
-                                              .revision = *written}},
-                                   .revision = mirror_.revision()});
-                log_event("host_entry_written")
-                    .add("revision", written->number())
-                    .add("ready", own_entry().ready);
-                check_departure();
-                return publish_entry();
-            }
-            log_event("host_entry_not_written", log_level::warning)
-                .add("error", written.ok()
+    store_.write(key, text, published_revision_,
+                 [this, key, text](absl::StatusOr<store_revision> written)
+                 {
+                     writing_ = false;
+                     read_later_era();
+                     // A write of an earlier era may have been lost.
+                     if (written.ok() && written->era() >= latest_era())
+                     {
+                         on_store_response();
+                         published_entry_ = text;
+                         published_revision_ = *written;
+                         if (written->era() == mirror_.revision().era())
+                             mirror_.apply({.items = {{.key = key,
+                                                       .value = text,
+                                                       .revision = *written}},
+                                            .revision = mirror_.revision()});
+                         log_event("host_entry_written")
+                             .add("revision", written->number())
+                             .add("ready", own_entry().ready);
+                         check_departure();
+                         return publish_entry();
+                     }
+                     log_event("host_entry_not_written", log_level::warning)
+                         .add("error",
+                              written.ok()
                                   ? "written before the store was restored"
                                   : std::string(written.status().message()));
-            // The revision did not match or the outcome is unknown:
-            // the key is read before the next write.
-            must_read_own_entry_ = true;
-            read_own_entry();
-        });
+                     // The revision did not match or the outcome is unknown:
+                     // the key is read before the next write.
+                     must_read_own_entry_ = true;
+                     read_own_entry();
+                 });
 }
 
 void control_node::read_own_entry()
 {
-    timers_.after(
-        std::max(retry_delay_, min_store_retry_delay),
-        [this]
-        {
-            auto const key = layout_.hosts_prefix + options_.host.value();
-            store_.read(
-                key,
-                [this, key](absl::StatusOr<store_items> items)
-                {
-                    read_later_era();
-                    if (!items.ok())
-                    {
-                        on_store_error("read_own_entry", items.status());
-                        return read_own_entry();
-                    }
-                    if (items->revision.era() < mirror_.revision().era())
-                        return read_own_entry();
-                    must_read_own_entry_ = false;
-                    published_entry_.reset();
-                    published_revision_ = store_revision();
-                    for (auto const& item : items->items)
-                        if (item.key == key)
-                        {
-                            published_entry_ = item.value;
-                            published_revision_ = item.revision;
-                            apply_host(item);
-                        }
-                    on_own_entry_changed();
-                    publish_entry();
-                });
-        });
+    timers_.after(std::max(retry_delay_, min_store_retry_delay),
+                  [this]
+                  {
+                      auto const key =
+                          layout_.hosts_prefix + options_.host.value();
+                      store_.read(key,
+                                  [this, key](absl::StatusOr<store_items> items)
+                                  {
+                                      read_later_era();
+                                      if (!items.ok())
+                                      {
+                                          on_store_error("read_own_entry",
+                                                         items.status());
+                                          return read_own_entry();
+                                      }
+                                      if (items->revision.era() < latest_era())
+                                          return read_own_entry();
+                                      must_read_own_entry_ = false;
+                                      published_entry_.reset();
+                                      published_revision_ = store_revision();
+                                      for (auto const& item : items->items)
+                                          if (item.key == key)
+                                          {
+                                              published_entry_ = item.value;
+                                              published_revision_ =
+                                                  item.revision;
+                                              apply_host(item);
+                                          }
+                                      on_own_entry_changed();
+                                      publish_entry();
+                                  });
+                  });
 }
 
 void control_node::upstream_changed(std::string_view cause)
--- a/src/pollenhall_sidecar/control_node.hpp
+++ b/src/pollenhall_sidecar/control_node.hpp
@@ -94,6 +94,9 @@
     // Meanwhile a relay may become known.
     void postpone_watch();
     void retry_after_store_error();
+    // Latest era that the store or a peer has named. The mirror may be of an
+    // earlier one.
+    [[nodiscard]] store_era latest_era() const;
     // Reads the store if a response has named a later era than that of the
     // mirror. The watch that is open may take seconds to end.
     void read_later_era();
