pollenhall-sidecar: removals and kept entries lead to a read of a later era

Cause: the results of remove_entry and write_kept_entry may be the first that name a later era, but only calls for the own entry led to a complete read. A node whose watch stayed open went on in the earlier era for the rest of the watch, up to 6 s, and its removals were not sent meanwhile. Change: both read a later era.

--- a/src/pollenhall_sidecar/control_departures.cpp
+++ b/src/pollenhall_sidecar/control_departures.cpp
@@ -161,18 +161,20 @@
     if (known != hosts_.end() && mesh::contains_departure(known->second, entry))
         return;
     auto const key = layout_.hosts_prefix + entry.host.value();
-    store_.write(key, write_host_entry(entry), mirror_.revision_of(key),
-                 [host = entry.host](absl::StatusOr<store_revision> written)
-                 {
-                     // A conflict means that the entry has changed, or that
-                     // another holder has written it. After any other error,
-                     // the host or another holder writes it.
-                     log_event("kept_entry_written")
-                         .add("host", host.value())
-                         .add("revision", written.ok() ? written->number()
-                                                       : std::int64_t{0})
-                         .add("error", std::string(written.status().message()));
-                 });
+    store_.write(
+        key, write_host_entry(entry), mirror_.revision_of(key),
+        [this, host = entry.host](absl::StatusOr<store_revision> written)
+        {
+            read_later_era();
+            // A conflict means that the entry has changed, or that
+            // another holder has written it. After any other error,
+            // the host or another holder writes it.
+            log_event("kept_entry_written")
+                .add("host", host.value())
+                .add("revision",
+                     written.ok() ? written->number() : std::int64_t{0})
+                .add("error", std::string(written.status().message()));
+        });
 }
 
 void control_node::schedule_kept_entries()
--- a/src/pollenhall_sidecar/control_peers.cpp
+++ b/src/pollenhall_sidecar/control_peers.cpp
@@ -184,8 +184,9 @@
 {
     auto const key = layout_.hosts_prefix + host.value();
     store_.remove(key, mirror_.revision_of(key),
-                  [host](absl::StatusOr<store_revision> const& removed)
+                  [this, host](absl::StatusOr<store_revision> const& removed)
                   {
+                      read_later_era();
                       // A live host writes its entry again. If the removal
                       // fails, the host is probed again.
                       log_event("host_entry_removed", log_level::warning)
