--- a/src/pollenhall_sidecar/control_node.cpp
+++ b/src/pollenhall_sidecar/control_node.cpp
@@ -7,6 +7,7 @@
 #include <pollenhall/io/log_event.hpp>
 
 #include <algorithm>
+#include <tuple>
 
 namespace pollenhall::sidecar
 {
@@ -43,6 +44,13 @@
 // The number is low; the first heartbeat replaces it within seconds.
 constexpr int assumed_slots = 32;
 
+// Orders the entries that a host has written one after the other.
+auto write_order(mesh::host_entry const& entry)
+{
+    return std::tuple(entry.boot, entry.started, entry.sequence, entry.left,
+                      entry.draining);
+}
+
 } // namespace
 
 control_node::control_node(asio::io_context& context, node_options options,
@@ -132,6 +140,11 @@
     wait_for_changes();
 }
 
+store_era control_node::latest_era() const
+{
+    return std::max(store_.era(), mirror_.revision().era());
+}
+
 void control_node::read_later_era()
 {
     if (reading_later_era_ || store_.era() <= mirror_.revision().era())
@@ -367,8 +380,11 @@
     {
         auto const stored = hosts_.find(host);
         if (host != options_.host &&
-            (stored == hosts_.end() || stored->second != entry))
+            (stored == hosts_.end() ||
+             write_order(stored->second) < write_order(entry)))
             lost_hosts_.insert_or_assign(host, entry);
+        else
+            lost_hosts_.erase(host);
     }
     if (lost_hosts_.empty())
         return;
@@ -581,42 +597,44 @@
     }
     writing_ = true;
     auto const key = layout_.hosts_prefix + options_.host.value();
-    store_.write(
-        key, text, published_revision_,
-        [this, key, text](absl::StatusOr<store_revision> written)
-        {
-            writing_ = false;
-            read_later_era();
-            // A write of an earlier era may have been lost.
-            if (written.ok() && written->era() >= mirror_.revision().era())
-            {
-                on_store_response();
-                write_retry_delay_ = milliseconds{0};
-                published_entry_ = text;
-                published_revision_ = *written;
-                if (written->era() == mirror_.revision().era())
-                    mirror_.apply({.items = {{.key = key,
-                                              .value = text,
-                                              .revision = *written}},
-                                   .revision = mirror_.revision()});
-                log_event("host_entry_written")
-                    .add("revision", written->number())
-                    .add("ready", own_entry().ready);
-                check_departure();
-                return publish_entry();
-            }
-            log_event("host_entry_not_written", log_level::warning)
-                .add("error", written.ok()
-                                  ? "written before the store was restored"
-                                  : std::string(written.status().message()));
-            // The revision did not match or the outcome is unknown:
-            // the key is read before the next write.
-            must_read_own_entry_ = true;
-            write_retry_delay_ = jittered(std::clamp(write_retry_delay_ * 2,
-                                                     min_store_retry_delay,
-                                                     max_store_retry_delay));
-            read_own_entry();
-        });
+    store_.write(key, text, published_revision_,
+                 [this, text](absl::StatusOr<store_revision> const& written)
+                 { on_entry_written(text, written); });
+}
+
+void control_node::on_entry_written(
+    std::string const& text, absl::StatusOr<store_revision> const& written)
+{
+    writing_ = false;
+    read_later_era();
+    // A write of an earlier era may have been lost.
+    if (written.ok() && written->era() >= latest_era())
+    {
+        on_store_response();
+        write_retry_delay_ = milliseconds{0};
+        published_entry_ = text;
+        published_revision_ = *written;
+        if (written->era() == mirror_.revision().era())
+            mirror_.apply(
+                {.items = {{.key = layout_.hosts_prefix + options_.host.value(),
+                            .value = text,
+                            .revision = *written}},
+                 .revision = mirror_.revision()});
+        log_event("host_entry_written")
+            .add("revision", written->number())
+            .add("ready", own_entry().ready);
+        check_departure();
+        return publish_entry();
+    }
+    log_event("host_entry_not_written", log_level::warning)
+        .add("error", written.ok() ? "written before the store was restored"
+                                   : std::string(written.status().message()));
+    // The revision did not match or the outcome is unknown: the key is read
+    // before the next write.
+    must_read_own_entry_ = true;
+    write_retry_delay_ = jittered(std::clamp(
+        write_retry_delay_ * 2, min_store_retry_delay, max_store_retry_delay));
+    read_own_entry();
 }
 
 void control_node::read_own_entry()
@@ -625,35 +643,36 @@
         std::max({retry_delay_, write_retry_delay_, min_store_retry_delay}),
         [this]
         {
-            auto const key = layout_.hosts_prefix + options_.host.value();
-            store_.read(
-                key,
-                [this, key](absl::StatusOr<store_items> items)
-                {
-                    read_later_era();
-                    if (!items.ok())
-                    {
-                        on_store_error("read_own_entry", items.status());
-                        return read_own_entry();
-                    }
-                    if (items->revision.era() < mirror_.revision().era())
-                        return read_own_entry();
-                    must_read_own_entry_ = false;
-                    published_entry_.reset();
-                    published_revision_ = store_revision();
-                    for (auto const& item : items->items)
-                        if (item.key == key)
-                        {
-                            published_entry_ = item.value;
-                            published_revision_ = item.revision;
-                            apply_host(item);
-                        }
-                    on_own_entry_changed();
-                    publish_entry();
-                });
+            store_.read(layout_.hosts_prefix + options_.host.value(),
+                        [this](absl::StatusOr<store_items> const& items)
+                        { on_own_entry_read(items); });
         });
 }
 
+void control_node::on_own_entry_read(absl::StatusOr<store_items> const& items)
+{
+    read_later_era();
+    if (!items.ok())
+    {
+        on_store_error("read_own_entry", items.status());
+        return read_own_entry();
+    }
+    if (items->revision.era() < latest_era())
+        return read_own_entry();
+    must_read_own_entry_ = false;
+    published_entry_.reset();
+    published_revision_ = store_revision();
+    for (auto const& item : items->items)
+        if (item.key == layout_.hosts_prefix + options_.host.value())
+        {
+            published_entry_ = item.value;
+            published_revision_ = item.revision;
+            apply_host(item);
+        }
+    on_own_entry_changed();
+    publish_entry();
+}
+
 void control_node::upstream_changed(std::string_view cause)
 {
     auto const& upstream = *registration_.current();
--- a/src/pollenhall_sidecar/control_node.hpp
+++ b/src/pollenhall_sidecar/control_node.hpp
@@ -94,6 +94,9 @@
     // Meanwhile a relay may become known.
     void postpone_watch();
     void retry_after_store_error();
+    // Latest era that the store or a peer has named. The mirror may be of an
+    // earlier one.
+    [[nodiscard]] store_era latest_era() const;
     // Reads the store if a response has named a later era than that of the
     // mirror. The watch that is open may take seconds to end.
     void read_later_era();
@@ -167,7 +170,11 @@
     void upstream_changed(std::string_view cause);
     [[nodiscard]] mesh::host_entry own_entry() const;
     void publish_entry();
+    // `text` is the entry that was written.
+    void on_entry_written(std::string const& text,
+                          absl::StatusOr<store_revision> const& written);
     void read_own_entry();
+    void on_own_entry_read(absl::StatusOr<store_items> const& items);
     void check_upstream_health();
     void poll_peer(mesh::host_address const& host);
     void poll_random_peer();
