--- a/src/pollenhall_sidecar/control_node.cpp
+++ b/src/pollenhall_sidecar/control_node.cpp
@@ -21,7 +21,7 @@
 constexpr milliseconds max_store_retry_delay{800};
 // The same while the store has no history for any watch: only complete reads
 // deliver changes then, and a configuration must be in force within 2 s.
-constexpr milliseconds max_history_gone_delay{1'000};
+constexpr milliseconds max_history_gone_delay{1'400};
 // The same for a node that usually receives changes from peers (a follower). It
 // is longer, because all followers call the store at once when it is
 // unavailable.
