--- a/src/standins/store_standin.cpp
+++ b/src/standins/store_standin.cpp
@@ -4,7 +4,9 @@
 //
 // POST /standin/fault takes a JSON object with any of: down (bool), slow_ms,
 // lose_answers (number of transactions whose response is lost after they took
-// effect), stale_reads (bool), silent_watches (bool), expire_leases (bool).
+// effect), stale_reads (bool), silent_watches (bool), expire_leases (bool),
+// compacted (bool), copy (bool; takes a copy of the store) and restore (bool;
+// the store comes back from that copy).
 // GET /standin/counters returns the number of calls by path.
 
 #include <pollenhall/io/clocks.hpp>
@@ -62,6 +64,17 @@
     bool stale_reads = false;
     /// Watches stay open but report no changes.
     bool silent_watches = false;
+    /// Each watch is cancelled, as if its history had been discarded.
+    bool compacted = false;
+};
+
+/// What a copy of the store holds.
+struct store_copy
+{
+    std::map<std::string, stored_value> data;
+    std::map<std::int64_t, lease> leases;
+    std::int64_t revision = 1;
+    std::int64_t next_lease = 0;
 };
 
 std::string encode_base64(std::string const& text)
@@ -169,7 +182,8 @@
         changed_.wait_for(lock, max_wait,
                           [&] { return revision_ >= revision; });
         std::vector<std::string> keys;
-        if (fault_.silent_watches || fault_.down)
+        // As etcd does, a watch from a later revision waits for it.
+        if (fault_.silent_watches || fault_.down || revision_ < revision)
             return keys;
         for (auto const& [key, item] : data_)
         {
@@ -188,6 +202,7 @@
         fault_.lose_answers = wanted.value("lose_answers", fault_.lose_answers);
         fault_.silent_watches =
             wanted.value("silent_watches", fault_.silent_watches);
+        fault_.compacted = wanted.value("compacted", fault_.compacted);
         bool const stale = wanted.value("stale_reads", fault_.stale_reads);
         if (stale && !fault_.stale_reads)
             stale_data_ = data_;
@@ -197,6 +212,20 @@
             for (auto& [id, item] : leases_)
                 item.expires = mono_time{};
         }
+        if (wanted.value("copy", false))
+            copy_ = {.data = data_,
+                     .leases = leases_,
+                     .revision = revision_,
+                     .next_lease = next_lease_};
+        if (wanted.value("restore", false))
+            restore();
+    }
+
+    /// Number of times that the store came back from a copy.
+    int restores()
+    {
+        std::lock_guard const lock(mutex_);
+        return restores_;
     }
 
     faults current_faults()
@@ -238,6 +267,19 @@
         changed_.notify_all();
     }
 
+    // Revisions and leases since the copy are given out again. As in etcd,
+    // leases begin anew when the store starts.
+    void restore()
+    {
+        data_ = copy_.data;
+        leases_ = copy_.leases;
+        revision_ = copy_.revision;
+        next_lease_ = copy_.next_lease;
+        for (auto& [id, item] : leases_)
+            item.expires = mono_now() + item.time_to_live;
+        ++restores_;
+    }
+
     void expire_leases()
     {
         auto const now = mono_now();
@@ -257,6 +299,8 @@
     std::map<std::int64_t, lease> leases_;
     std::int64_t revision_ = 1;
     std::int64_t next_lease_ = 0;
+    store_copy copy_;
+    int restores_ = 0;
     faults fault_;
 };
 
@@ -366,12 +410,15 @@
         auto const from = decode_base64(create, "key");
         auto const end = decode_base64(create, "range_end");
         bool first = true;
+        auto const restores = store_.restores();
         reply.set_chunked_content_provider(
             "application/json",
-            [this, revision, from, end, first](std::size_t,
-                                               httplib::DataSink& sink) mutable
+            [this, revision, from, end, first,
+             restores](std::size_t, httplib::DataSink& sink) mutable
             {
-                if (stopping_ || store_.current_faults().down)
+                auto const fault = store_.current_faults();
+                // A store that comes back from a copy has been restarted.
+                if (stopping_ || fault.down || store_.restores() != restores)
                 {
                     sink.done();
                     return true;
@@ -381,6 +428,14 @@
                     first = false;
                     return write_result(sink, {{"created", true}});
                 }
+                if (fault.compacted)
+                {
+                    write_result(sink, {{"canceled", true},
+                                        {"compact_revision",
+                                         std::to_string(revision + 1)}});
+                    sink.done();
+                    return true;
+                }
                 return write_events(
                     sink, store_.wait_for_changes(revision, from, end));
             });
