pollenhalld: what a restored store has lost is stored again

Cause: the generation of a space was taken for a sequence that only rises. A store that comes back from an older copy has an older generation than the nodes, which ignore it. An apply was a conflict for good, or, based on the generation of the copy, was accepted under a generation that the nodes had already and never came into force. Rosters got no new epoch, and a restart of all nodes brought back the older declarations.

Change: a node that reads an older generation than it has in force, or a complete read without a space that it knows, stores the space again: the same generation, the documents that differ and the apply ids of both, on the condition that the head is still the one that was read. A change does this before it compares its base. A stale read thus writes nothing.

Unit tests of document_book pass.

Limit: documents that are stored again go into one transaction; more than 127 that were lost at once exceed etcd's default and are not stored.

--- a/src/include/pollenhall/document_book.hpp
+++ b/src/include/pollenhall/document_book.hpp
@@ -46,6 +46,28 @@
     bool operator==(space_update const&) const = default;
 };
 
+/// An apply operation and what it created.
+struct past_apply
+{
+    std::string id;
+    /// Generation that the apply created.
+    generation made;
+
+    bool operator==(past_apply const&) const = default;
+};
+
+/// Maximum number of applies recorded for a space.
+inline constexpr std::size_t max_past_applies = 64;
+
+/// A space as a node has it in force.
+struct known_space
+{
+    /// All documents of the space.
+    space_update content;
+    /// Applies that the node has received; latest first.
+    std::vector<past_apply> applies;
+};
+
 /// Result of merging an update.
 enum class merge_result
 {
@@ -71,6 +93,9 @@
     /// unknown.
     [[nodiscard]] std::optional<space_update>
     changes_since(std::string_view space, generation since) const;
+    /// Returns all that is known of a space; empty if the space is unknown.
+    [[nodiscard]] std::optional<known_space>
+    known(std::string_view space) const;
     /// Returns the documents of a space, without removed ones.
     [[nodiscard]] std::vector<declaration_file>
     files(std::string_view space) const;
@@ -85,6 +110,8 @@
         generation newest;
         std::string apply_id;
         std::string actor;
+        // Latest first.
+        std::vector<past_apply> applies;
         std::map<std::string, versioned_document> documents;
     };
 
--- a/src/include/pollenhall/io/document_writer.hpp
+++ b/src/include/pollenhall/io/document_writer.hpp
@@ -1,5 +1,6 @@
 // Changes a space of documents in the store by compare-and-swap, and determines
-// the outcome of a change whose response was lost.
+// the outcome of a change whose response was lost. A store that came back from
+// an older copy gets again what nodes have in force.
 
 #pragma once
 
@@ -37,6 +38,9 @@
     std::vector<declaration_file> documents;
     std::string apply_id;
     std::string actor;
+    /// What this node has in force. If the store has an older generation, this
+    /// is stored again before the change.
+    known_space known;
 };
 
 /// Result of a change.
@@ -56,8 +60,13 @@
 absl::StatusOr<stored_space>
 read_space(etcd_store& store, std::string_view prefix, std::string_view space);
 
-/// Performs a change with at most one write to the store. An apply id that was
-/// accepted before is not written again.
+/// Stores a space again if the store has an older generation of it, because it
+/// came back from an older copy. Returns whether it was written.
+absl::StatusOr<bool> restore_space(etcd_store& store, std::string_view prefix,
+                                   known_space const& known);
+
+/// Performs a change with at most one write to the store, besides that of
+/// `restore_space`. An apply id that was accepted before is not written again.
 write_report write_documents(etcd_store& store, std::string_view prefix,
                              write_request const& request);
 
--- a/src/include/pollenhall/store_layout.hpp
+++ b/src/include/pollenhall/store_layout.hpp
@@ -17,16 +17,6 @@
 namespace pollenhall
 {
 
-/// An apply operation recorded in a head.
-struct past_apply
-{
-    std::string id;
-    /// Generation that the apply created.
-    generation made;
-
-    bool operator==(past_apply const&) const = default;
-};
-
 /// Value of a space's head.
 struct space_head
 {
@@ -43,9 +33,6 @@
     bool operator==(space_head const&) const = default;
 };
 
-/// Maximum number of applies recorded in a head.
-inline constexpr std::size_t max_past_applies = 64;
-
 /// A key and its value, as read from the store.
 struct stored_value
 {
@@ -92,6 +79,10 @@
 space_head next_head(space_head const& head, std::string apply_id,
                      std::string actor);
 
+/// Returns the head of a space that the store has at an older generation than
+/// a node. It names the applies of both.
+space_head restored_head(space_head const& stored, known_space const& known);
+
 /// Returns the changes that turn `current` into `wanted`, with generation
 /// `made`.
 std::vector<versioned_document>
--- a/src/libpollenhall/document_book.cpp
+++ b/src/libpollenhall/document_book.cpp
@@ -17,6 +17,10 @@
     known.newest = update.newest;
     known.apply_id = update.apply_id;
     known.actor = update.actor;
+    known.applies.insert(known.applies.begin(),
+                         {.id = update.apply_id, .made = update.newest});
+    if (known.applies.size() > max_past_applies)
+        known.applies.resize(max_past_applies);
     for (auto const& document : update.documents)
     {
         auto const [position, is_new] =
@@ -53,6 +57,15 @@
     return update;
 }
 
+std::optional<known_space> document_book::known(std::string_view space) const
+{
+    auto content = changes_since(space, generation(0));
+    if (!content)
+        return std::nullopt;
+    return known_space{.content = std::move(*content),
+                       .applies = spaces_.find(space)->second.applies};
+}
+
 std::vector<declaration_file> document_book::files(std::string_view space) const
 {
     std::vector<declaration_file> files;
--- a/src/libpollenhall/document_book_test.cpp
+++ b/src/libpollenhall/document_book_test.cpp
@@ -122,6 +122,43 @@
     CHECK(node.newest(space) == generation(0));
 }
 
+// Guards against an apply that is performed again because the store lost it.
+TEST_CASE("a space that the store has lost is stored again")
+{
+    space_history history;
+    for (int i = 1; i <= 3; ++i)
+        history.change({{.path = "a", .text = std::to_string(i)}});
+    space_head copy;
+    copy = next_head(copy, "1", "test");
+    auto const known = *history.newest.known(space);
+    auto const head = restored_head(copy, known);
+    CHECK(head.newest == generation(3));
+    CHECK(head.actor == "test");
+    SUBCASE("the head names each apply once, the latest first")
+    {
+        CHECK(head.applies ==
+              std::vector<past_apply>{{.id = "3", .made = generation(3)},
+                                      {.id = "2", .made = generation(2)},
+                                      {.id = "1", .made = generation(1)}});
+    }
+    SUBCASE("the head keeps applies that the node has not received")
+    {
+        document_book late;
+        late.merge(known.content);
+        CHECK(restored_head(copy, *late.known(space)).applies ==
+              std::vector<past_apply>{{.id = "3", .made = generation(3)},
+                                      {.id = "1", .made = generation(1)}});
+    }
+    SUBCASE("the head names no more applies than any other")
+    {
+        for (std::size_t i = 4; i <= max_past_applies + 4; ++i)
+            history.change({{.path = "a", .text = std::to_string(i)}});
+        CHECK(
+            restored_head(copy, *history.newest.known(space)).applies.size() ==
+            max_past_applies);
+    }
+}
+
 TEST_CASE("spaces are unchanged after formatting and parsing")
 {
     CHECK(rc::check(
--- a/src/libpollenhall/store_layout.cpp
+++ b/src/libpollenhall/store_layout.cpp
@@ -2,6 +2,7 @@
 
 #include <pollenhall/store_layout.hpp>
 
+#include <algorithm>
 #include <map>
 #include <optional>
 
@@ -184,6 +185,24 @@
     return next;
 }
 
+space_head restored_head(space_head const& stored, known_space const& known)
+{
+    space_head head{.newest = known.content.newest,
+                    .actor = known.content.actor,
+                    .applies = known.applies};
+    for (auto const& item : stored.applies)
+    {
+        if (head.generation_created_by(item.id) == generation(0))
+            head.applies.push_back(item);
+    }
+    std::stable_sort(head.applies.begin(), head.applies.end(),
+                     [](auto const& left, auto const& right)
+                     { return left.made > right.made; });
+    if (head.applies.size() > max_past_applies)
+        head.applies.resize(max_past_applies);
+    return head;
+}
+
 std::vector<versioned_document>
 changed_documents(std::vector<declaration_file> const& current,
                   std::vector<declaration_file> const& wanted, generation made)
--- a/src/libpollenhall_io/document_writer.cpp
+++ b/src/libpollenhall_io/document_writer.cpp
@@ -2,6 +2,7 @@
 
 #include <pollenhall/io/document_writer.hpp>
 
+#include <algorithm>
 #include <thread>
 
 namespace pollenhall
@@ -71,6 +72,28 @@
     return resolve_with_retries(store, prefix, request);
 }
 
+// Reads the space after the store has again what this node has in force.
+absl::StatusOr<stored_space> read_or_restore(etcd_store& store,
+                                             std::string_view prefix,
+                                             write_request const& request)
+{
+    auto const lacks_known = [&](absl::StatusOr<stored_space> const& stored) {
+        return stored.ok() &&
+               stored->head.newest < request.known.content.newest;
+    };
+    auto stored = read_space(store, prefix, request.space);
+    if (!lacks_known(stored))
+        return stored;
+    auto const restored = restore_space(store, prefix, request.known);
+    if (!restored.ok())
+        return restored.status();
+    stored = read_space(store, prefix, request.space);
+    if (lacks_known(stored))
+        return absl::UnavailableError(
+            "the store has an older generation than this node");
+    return stored;
+}
+
 } // namespace
 
 absl::StatusOr<stored_space>
@@ -92,10 +115,44 @@
     return empty;
 }
 
+absl::StatusOr<bool> restore_space(etcd_store& store, std::string_view prefix,
+                                   known_space const& known)
+{
+    auto const& content = known.content;
+    auto const stored = read_space(store, prefix, content.space);
+    if (!stored.ok())
+        return stored.status();
+    if (stored->head.newest >= content.newest)
+        return false;
+    auto const& present = stored->update.documents;
+    std::vector<store_write> writes{
+        {.key = head_key(prefix, content.space),
+         .value = format_head(restored_head(stored->head, known)),
+         .lease = std::nullopt}};
+    for (auto const& document : content.documents)
+    {
+        if (std::find(present.begin(), present.end(), document) ==
+            present.end())
+            writes.push_back(
+                {.key = document_key(prefix, content.space, document.path),
+                 .value = format_document(document),
+                 .lease = std::nullopt});
+    }
+    // The head changes with each write, so nothing that was written after the
+    // read is overwritten.
+    auto const result =
+        store.commit({{.key = head_key(prefix, content.space),
+                       .modified = store_revision(stored->head_revision)}},
+                     writes);
+    if (!result.ok())
+        return result.status();
+    return result->succeeded;
+}
+
 write_report write_documents(etcd_store& store, std::string_view prefix,
                              write_request const& request)
 {
-    auto const stored = read_space(store, prefix, request.space);
+    auto const stored = read_or_restore(store, prefix, request);
     if (!stored.ok())
         return make_report(write_outcome::not_accepted, {},
                            std::string(stored.status().message()));
--- a/src/pollenhalld/control_documents.cpp
+++ b/src/pollenhalld/control_documents.cpp
@@ -3,8 +3,10 @@
 
 #include "control_plane.hpp"
 
+#include <pollenhall/io/log_event.hpp>
 #include <pollenhall/io/wire_codec.hpp>
 
+#include <map>
 #include <tuple>
 
 namespace pollenhall
@@ -121,6 +123,37 @@
     rebuild_view();
 }
 
+void control_plane::on_stored_spaces(std::vector<space_update> const& spaces,
+                                     bool complete)
+{
+    std::map<std::string, generation, std::less<>> stored;
+    for (auto const& update : spaces)
+    {
+        merge(update);
+        stored[update.space] = update.newest;
+    }
+    for (auto const& known : configuration_.book().digests())
+    {
+        auto const found = stored.find(known.space);
+        if (found == stored.end() ? complete : found->second < known.newest)
+            store_again(known.space);
+    }
+}
+
+void control_plane::store_again(std::string const& space)
+{
+    store_.submit(
+        [this, known = known_space_of(space)](etcd_store& store)
+        {
+            auto const restored =
+                restore_space(store, settings_.store_prefix, known);
+            if (restored.ok() && *restored)
+                log_event("lost_space_stored_again", log_level::warning)
+                    .add("space", known.content.space)
+                    .add("generation", known.content.newest.value());
+        });
+}
+
 std::pair<member_name, std::vector<finding>>
 control_plane::check(std::vector<declaration_file> documents)
 {
@@ -140,15 +173,17 @@
     if (!report.findings.empty())
         return report;
     auto const space = std::string(member_space_prefix) + report.member.value();
-    auto const current = space_in_force(space);
+    auto const known = known_in_force(space);
     document_book before;
-    before.merge(current);
+    before.merge(known.content);
     report.documents_before = before.files(space);
     write_request request{.space = space,
-                          .base = parameters.base.value_or(current.newest),
+                          .base =
+                              parameters.base.value_or(known.content.newest),
                           .documents = std::move(parameters.documents),
                           .apply_id = std::move(parameters.apply_id),
-                          .actor = std::move(parameters.actor)};
+                          .actor = std::move(parameters.actor),
+                          .known = known};
     report.write = run_on_store_thread(
         [&](etcd_store& store)
         { return write_documents(store, settings_.store_prefix, request); });
@@ -188,17 +223,22 @@
 
 space_update control_plane::space_in_force(std::string space)
 {
-    return run_on_control_thread(
-        [&]
-        {
-            auto update =
-                configuration_.book().changes_since(space, generation(0));
-            if (update)
-                return *update;
-            space_update none;
-            none.space = space;
-            return none;
-        });
+    return known_in_force(std::move(space)).content;
+}
+
+known_space control_plane::known_in_force(std::string space)
+{
+    return run_on_control_thread([&] { return known_space_of(space); });
+}
+
+known_space control_plane::known_space_of(std::string const& space) const
+{
+    auto known = configuration_.book().known(space);
+    if (known)
+        return std::move(*known);
+    known_space none;
+    none.content.space = space;
+    return none;
 }
 
 } // namespace pollenhall
--- a/src/pollenhalld/control_plane.cpp
+++ b/src/pollenhalld/control_plane.cpp
@@ -71,14 +71,11 @@
       store_(settings.store, settings.store_prefix,
              static_cast<std::uint64_t>(boot.value()),
              {.on_spaces =
-                  [this](std::vector<space_update> updates)
+                  [this](std::vector<space_update> spaces, bool complete)
               {
                   asio::post(context_,
-                             [this, updates = std::move(updates)]
-                             {
-                                 for (auto const& update : updates)
-                                     merge(update);
-                             });
+                             [this, spaces = std::move(spaces), complete]
+                             { on_stored_spaces(spaces, complete); });
               }}),
       seeds_(settings, store_,
              [this](std::vector<peer_endpoint> endpoints)
@@ -391,7 +388,8 @@
         .apply_id = settings_.name.value() + "/" +
                     std::to_string(members_.self().boot.value()) + "/" +
                     std::to_string(next->latest()->number.value()),
-        .actor = settings_.name.value()};
+        .actor = settings_.name.value(),
+        .known = known_space_of(space)};
     store_.submit(
         [this, request = std::move(request)](etcd_store& store)
         {
--- a/src/pollenhalld/control_plane.hpp
+++ b/src/pollenhalld/control_plane.hpp
@@ -134,6 +134,8 @@
     /// Returns all documents of a space that are in force on this node; none if
     /// the space is unknown. Blocks.
     space_update space_in_force(std::string space);
+    /// Returns all that this node knows of a space.
+    known_space known_in_force(std::string space);
     /// Queries all nodes. Blocks until all live nodes have answered or
     /// `timeout` has passed.
     query_result query_all_nodes(milliseconds timeout,
@@ -167,6 +169,12 @@
     void on_gossip(gossip_message const& message, peer_endpoint const& from);
     void publish_upstream();
     void merge(space_update const& update);
+    // Merges what the store has, and stores again what it has lost by coming
+    // back from an older copy.
+    void on_stored_spaces(std::vector<space_update> const& spaces,
+                          bool complete);
+    void store_again(std::string const& space);
+    [[nodiscard]] known_space known_space_of(std::string const& space) const;
     void pull_if_newer(space_digest const& digest, peer_endpoint const& from,
                        mono_time now);
     void on_pull(link_id link, wire::space_pull const& request);
--- a/src/pollenhalld/store_agent.cpp
+++ b/src/pollenhalld/store_agent.cpp
@@ -135,7 +135,7 @@
     auto const view = watch_store_.read_prefix(spaces_prefix(prefix_));
     if (!view.ok())
         return view.status();
-    deliver_spaces(*view);
+    deliver_spaces(*view, true);
     return view->revision;
 }
 
@@ -152,12 +152,12 @@
         reachable_ = view.ok();
         if (!view.ok())
             return false;
-        deliver_spaces(*view);
+        deliver_spaces(*view, false);
     }
     return true;
 }
 
-void store_agent::deliver_spaces(store_view const& view)
+void store_agent::deliver_spaces(store_view const& view, bool complete)
 {
     std::vector<stored_value> values;
     for (auto const& record : view.records)
@@ -173,7 +173,7 @@
             log_event("stored_space_refused", log_level::error)
                 .add("reason", std::string(space.status().message()));
     }
-    events_.on_spaces(std::move(updates));
+    events_.on_spaces(std::move(updates), complete);
 }
 
 void store_agent::pause_after_failure()
--- a/src/pollenhalld/store_agent.hpp
+++ b/src/pollenhalld/store_agent.hpp
@@ -24,8 +24,9 @@
 /// Callbacks of the agent; called on its watch thread.
 struct store_events
 {
-    /// Receives the spaces that were read and parsed.
-    std::function<void(std::vector<space_update>)> on_spaces;
+    /// Receives the spaces that were read and parsed, and whether these are
+    /// all spaces of the store.
+    std::function<void(std::vector<space_update>, bool complete)> on_spaces;
 };
 
 /// Runs the threads that access the store. All member functions may be called
@@ -66,7 +67,7 @@
     void watch_once();
     absl::StatusOr<store_revision> read_all();
     bool read_changed(std::vector<std::string> const& keys);
-    void deliver_spaces(store_view const& view);
+    void deliver_spaces(store_view const& view, bool complete);
     void pause_after_failure();
     bool wait_for_role();
 
