pollenhalld: a watch ends if the store lacks the revision before it

Cause: a store that comes back from an older copy between the read and the watch accepts the watch, but sends nothing until it has given out the missing revisions again; the changes under them are never reported. The next read came only after 20 s without an event.

Change: the watch ends if the revision that the store names when it accepts it is lower than that of the read; the store is then read again.

Result: the new subcase of etcd_store_test failed before (1 change reported instead of 0) and passes; all 18 cases of pollenhall_io_test pass, one run.

--- a/src/include/pollenhall/io/etcd_store.hpp
+++ b/src/include/pollenhall/io/etcd_store.hpp
@@ -106,7 +106,8 @@
 
     /// Watches the keys that begin with `prefix` for changes from revision
     /// `from` on. Returns when the stream ends, when `on_change` returns false,
-    /// or when nothing arrives for `idle_timeout`. Returns Internal at a
+    /// when nothing arrives for `idle_timeout`, or when the store has not
+    /// reached the revision before `from`. Returns Internal at a
     /// response that is malformed; the changes before it were reported.
     absl::Status watch(std::string_view prefix, store_revision from,
                        milliseconds idle_timeout,
--- a/src/libpollenhall_io/etcd_store.cpp
+++ b/src/libpollenhall_io/etcd_store.cpp
@@ -88,6 +88,7 @@
 {
     bool cancelled = false;
     std::vector<std::string> keys;
+    /// Revision of the store; 0 if the message does not name it.
     store_revision revision;
 };
 
@@ -104,7 +105,7 @@
         if (absl::Base64Unescape(kv.value("key", ""), &key))
             message.keys.push_back(std::move(key));
     }
-    if (!message.keys.empty())
+    if (!message.keys.empty() || result.contains("header"))
         message.revision = revision_of(result);
     return message;
 }
@@ -359,6 +360,11 @@
             malformed = message.status();
             if (!message.ok() || message->cancelled)
                 return false;
+            // A store that came back from an older copy sends nothing until it
+            // has given out all revisions before `from` again.
+            auto const store_has = message->revision.value();
+            if (store_has != 0 && store_has + 1 < from.value())
+                return false;
             if (!message->keys.empty() &&
                 !on_change(message->keys, message->revision))
                 return false;
--- a/src/libpollenhall_io/etcd_store_test.cpp
+++ b/src/libpollenhall_io/etcd_store_test.cpp
@@ -139,6 +139,39 @@
                 CHECK_FALSE(result.ok());
         }
     }
+    // Guards against changes that are missed for as long as the store gives out
+    // revisions again.
+    SUBCASE("ends a watch from a revision that the store does not have")
+    {
+        int changes = 0;
+        auto const watch = [&](std::string const& created_at)
+        {
+            changes = 0;
+            return store.run(
+                absl::StrCat("HTTP/1.1 200 OK\r\n\r\n"
+                             R"({"result":{"header":{"revision":")",
+                             created_at, R"("},"created":true}})",
+                             "\n"
+                             R"({"result":{"header":{"revision":"12"},)"
+                             R"("events":[{"kv":{"key":"YQ=="}}]}})",
+                             "\n"),
+                [&](etcd_store& client)
+                {
+                    return client.watch("a", store_revision(11), store_timeout,
+                                        [&](auto const&, auto)
+                                        {
+                                            ++changes;
+                                            return true;
+                                        });
+                });
+        };
+        CHECK(watch("9").ok());
+        CHECK(changes == 0);
+        CHECK(watch("10").ok());
+        CHECK(changes == 1);
+        CHECK(watch("11").ok());
+        CHECK(changes == 1);
+    }
     SUBCASE("ends a watch at a response that it cannot read")
     {
         std::string const event = R"({"result":{"header":{"revision":"8"},)"
