pollenhalld: watches that end at once are delayed longer each time

Cause: each read that succeeded reset the number of failures, so a store that cancels every watch, as after a compaction, was read and watched again after 0.1 to 0.5 s for as long as that lasted.

Change: only a watch that lasts for a second resets it.

--- a/src/pollenhalld/store_agent.cpp
+++ b/src/pollenhalld/store_agent.cpp
@@ -113,7 +113,6 @@
         return;
     }
     reachable_ = true;
-    consecutive_failures_ = 0;
     auto const started = mono_now();
     auto const watched = watch_store_.watch(
         spaces_prefix(prefix_), store_revision(revision->value() + 1),
@@ -124,10 +123,12 @@
     if (absl::IsInternal(watched))
         log_event("store_response_malformed", log_level::warning)
             .add("reason", std::string(watched.message()));
-    // If the store ends watches immediately, for whatever reason, the next
-    // attempt is delayed.
+    // If the store ends watches immediately, for whatever reason, each attempt
+    // is delayed longer than the one before, although the reads succeed.
     if (mono_now() < started + min_watch_duration)
         pause_after_failure();
+    else
+        consecutive_failures_ = 0;
 }
 
 absl::StatusOr<store_revision> store_agent::read_all()
