pollenhalld: a seed whose lease was given out again registers again

Cause: leases of a store that comes back from an older copy are given out again. The renewal of a lost lease that another client has by then succeeds, so the lost entry was never written again.

Change: after a renewal the entry is read; without it, the node registers again.

--- a/src/pollenhalld/seed_registry.cpp
+++ b/src/pollenhalld/seed_registry.cpp
@@ -42,17 +42,27 @@
 
 void seed_registry::keep_registered(etcd_store& store)
 {
+    auto const key = settings_.store_prefix + "seeds/" +
+                     settings_.zone.value() + "/" + settings_.name.value();
+    // A store that came back from an older copy may have given the lease to
+    // another client, so that its renewal does not show that the entry is lost.
     if (lease_ && store.keep_alive(*lease_).ok())
-        return;
+    {
+        auto const view = store.read_prefix(key);
+        if (!view.ok() ||
+            std::any_of(view->records.begin(), view->records.end(),
+                        [&](store_record const& record)
+                        { return record.key == key; }))
+            return;
+    }
     lease_.reset();
     auto const lease = store.grant_lease(lease_time);
     if (!lease.ok())
         return;
-    store_write const entry{
-        .key = settings_.store_prefix + "seeds/" + settings_.zone.value() +
-               "/" + settings_.name.value(),
-        .value = settings_.address + ":" + std::to_string(settings_.peer_port),
-        .lease = *lease};
+    store_write const entry{.key = key,
+                            .value = settings_.address + ":" +
+                                     std::to_string(settings_.peer_port),
+                            .lease = *lease};
     if (store.commit({}, {entry}).ok())
         lease_ = *lease;
 }
