pollenhalld: a generation given out again does not hide a change

Cause: after the store came back from an older copy, a node that knew only the copy (it had just started) could have a change accepted under a generation that the others already had. These ignored it, and the store's content was written over or, later, mixed with theirs document by document.

Change: nodes keep the ids of the applies of each space, also from the heads that they read. If the newest generation that both sides have a record of was created by different applies, the content of the store, accepted last, becomes the next generation with all its documents. Rosters stay as the nodes have them, since homes may have run keys by them. The stand-in takes "writes" that follow a restore before any other call.

--- a/src/include/pollenhall/document_book.hpp
+++ b/src/include/pollenhall/document_book.hpp
@@ -29,6 +29,19 @@
     bool operator==(versioned_document const&) const = default;
 };
 
+/// An apply operation and what it created.
+struct past_apply
+{
+    std::string id;
+    /// Generation that the apply created.
+    generation made;
+
+    bool operator==(past_apply const&) const = default;
+};
+
+/// Maximum number of applies recorded for a space.
+inline constexpr std::size_t max_past_applies = 64;
+
 /// Changes to one space.
 struct space_update
 {
@@ -42,29 +55,18 @@
     /// documents.
     generation since;
     std::vector<versioned_document> documents;
+    /// Applies that the store has a record of; empty in updates of peers.
+    std::vector<past_apply> applies = {};
 
     bool operator==(space_update const&) const = default;
 };
 
-/// An apply operation and what it created.
-struct past_apply
-{
-    std::string id;
-    /// Generation that the apply created.
-    generation made;
-
-    bool operator==(past_apply const&) const = default;
-};
-
-/// Maximum number of applies recorded for a space.
-inline constexpr std::size_t max_past_applies = 64;
-
 /// A space as a node has it in force.
 struct known_space
 {
     /// All documents of the space.
     space_update content;
-    /// Applies that the node has received; latest first.
+    /// Applies that the node has a record of; latest first.
     std::vector<past_apply> applies;
 };
 
@@ -84,7 +86,8 @@
 class document_book
 {
 public:
-    /// Applies an update unless it is stale or leaves a gap.
+    /// Applies an update unless it is stale or leaves a gap. One of the
+    /// generation in force adds its record of applies.
     merge_result merge(space_update const& update);
 
     /// Returns the generation in force; 0 if the space is unknown.
--- a/src/include/pollenhall/io/document_writer.hpp
+++ b/src/include/pollenhall/io/document_writer.hpp
@@ -61,7 +61,10 @@
 read_space(etcd_store& store, std::string_view prefix, std::string_view space);
 
 /// Stores a space again if the store has an older generation of it, because it
-/// came back from an older copy. Returns whether it was written.
+/// came back from an older copy. If the store has since accepted another change
+/// of a member's declarations under a generation that was known here already,
+/// its content becomes the next generation instead: it was accepted last.
+/// Returns whether the space was written.
 absl::StatusOr<bool> restore_space(etcd_store& store, std::string_view prefix,
                                    known_space const& known);
 
--- a/src/libpollenhall/document_book.cpp
+++ b/src/libpollenhall/document_book.cpp
@@ -3,24 +3,53 @@
 #include <pollenhall/document_book.hpp>
 #include <pollenhall/hashing.hpp>
 
+#include <algorithm>
+
 namespace pollenhall
 {
+namespace
+{
+
+// Adds the applies of generations that have no record yet.
+void record_applies(std::vector<past_apply>& known, space_update const& update)
+{
+    auto const add = [&](past_apply const& apply)
+    {
+        if (std::none_of(known.begin(), known.end(),
+                         [&](past_apply const& own)
+                         { return own.made == apply.made; }))
+            known.push_back(apply);
+    };
+    add({.id = update.apply_id, .made = update.newest});
+    for (auto const& apply : update.applies)
+        add(apply);
+    std::sort(known.begin(), known.end(),
+              [](past_apply const& left, past_apply const& right)
+              { return left.made > right.made; });
+    if (known.size() > max_past_applies)
+        known.resize(max_past_applies);
+}
+
+} // namespace
 
 merge_result document_book::merge(space_update const& update)
 {
     auto const current = newest(update.space);
     if (update.newest <= current)
+    {
+        auto const found = spaces_.find(update.space);
+        if (found != spaces_.end() && update.newest == current &&
+            update.apply_id == found->second.apply_id)
+            record_applies(found->second.applies, update);
         return merge_result::unchanged;
+    }
     if (update.since > current)
         return merge_result::gap;
     auto& known = spaces_[update.space];
     known.newest = update.newest;
     known.apply_id = update.apply_id;
     known.actor = update.actor;
-    known.applies.insert(known.applies.begin(),
-                         {.id = update.apply_id, .made = update.newest});
-    if (known.applies.size() > max_past_applies)
-        known.applies.resize(max_past_applies);
+    record_applies(known.applies, update);
     for (auto const& document : update.documents)
     {
         auto const [position, is_new] =
--- a/src/libpollenhall/document_book_test.cpp
+++ b/src/libpollenhall/document_book_test.cpp
@@ -141,6 +141,34 @@
                                       {.id = "2", .made = generation(2)},
                                       {.id = "1", .made = generation(1)}});
     }
+    SUBCASE("a copy is no other history")
+    {
+        CHECK_FALSE(have_diverged(copy, known));
+        CHECK_FALSE(have_diverged({}, known));
+    }
+    SUBCASE("a generation that was given out again is another history")
+    {
+        CHECK(have_diverged(next_head(copy, "other", "test"), known));
+    }
+    SUBCASE("the store's record names generations that a node passed over")
+    {
+        auto const stored = next_head(
+            next_head(next_head({}, "1", "test"), "2", "test"), "3", "test");
+        auto content = known.content;
+        document_book late;
+        late.merge(content);
+        CHECK(late.known(space)->applies.size() == 1);
+        content.applies = stored.applies;
+        late.merge(content);
+        CHECK(late.known(space)->applies == stored.applies);
+    }
+    SUBCASE("histories that met again are one")
+    {
+        auto const met =
+            next_head(next_head(next_head({}, "1", "test"), "other", "test"),
+                      "3", "test");
+        CHECK_FALSE(have_diverged(met, known));
+    }
     SUBCASE("the head keeps applies that the node has not received")
     {
         document_book late;
--- a/src/libpollenhall/store_layout.cpp
+++ b/src/libpollenhall/store_layout.cpp
@@ -67,6 +67,7 @@
         space.update.actor = space.head.actor;
         if (!space.head.applies.empty())
             space.update.apply_id = space.head.applies.front().id;
+        space.update.applies = space.head.applies;
         for (auto const& [path, value] : raw.documents)
         {
             key = &value->key;
@@ -185,6 +186,19 @@
     return next;
 }
 
+bool have_diverged(space_head const& stored, known_space const& known)
+{
+    for (auto const& item : stored.applies)
+    {
+        auto const own = std::find_if(
+            known.applies.begin(), known.applies.end(),
+            [&](past_apply const& apply) { return apply.made == item.made; });
+        if (own != known.applies.end())
+            return own->id != item.id;
+    }
+    return false;
+}
+
 space_head restored_head(space_head const& stored, known_space const& known)
 {
     space_head head{.newest = known.content.newest,
--- a/src/libpollenhall_io/document_writer.cpp
+++ b/src/libpollenhall_io/document_writer.cpp
@@ -72,23 +72,65 @@
     return resolve_with_retries(store, prefix, request);
 }
 
+bool is_member_space(known_space const& known)
+{
+    return known.content.space.starts_with(member_space_prefix);
+}
+
+bool lacks_known(space_head const& stored, known_space const& known)
+{
+    auto const newest = known.content.newest;
+    // Homes may have run keys by the epochs of a roster, so one that the store
+    // has under the same generation replaces none that is known.
+    return stored.newest < newest ||
+           (stored.newest == newest && is_member_space(known) &&
+            have_diverged(stored, known));
+}
+
+/// Head and documents that replace what the store has.
+struct restored_space
+{
+    space_head head;
+    std::vector<versioned_document> documents;
+};
+
+// The content of the store as the generation after the known one.
+restored_space renumber(stored_space const& stored, known_space const& known)
+{
+    auto const next = generation(known.content.newest.value() + 1);
+    restored_space result{.head = stored.head,
+                          .documents = stored.update.documents};
+    result.head.newest = next;
+    result.head.applies.insert(result.head.applies.begin(),
+                               {.id = stored.update.apply_id, .made = next});
+    if (result.head.applies.size() > max_past_applies)
+        result.head.applies.resize(max_past_applies);
+    for (auto const& document : known.content.documents)
+    {
+        if (std::none_of(result.documents.begin(), result.documents.end(),
+                         [&](versioned_document const& present)
+                         { return present.path == document.path; }))
+            result.documents.push_back(
+                {.path = document.path, .changed = next, .text = std::nullopt});
+    }
+    for (auto& document : result.documents)
+        document.changed = next;
+    return result;
+}
+
 // Reads the space after the store has again what this node has in force.
 absl::StatusOr<stored_space> read_or_restore(etcd_store& store,
                                              std::string_view prefix,
                                              write_request const& request)
 {
-    auto const lacks_known = [&](absl::StatusOr<stored_space> const& stored) {
-        return stored.ok() &&
-               stored->head.newest < request.known.content.newest;
-    };
     auto stored = read_space(store, prefix, request.space);
-    if (!lacks_known(stored))
+    if (!stored.ok() || !lacks_known(stored->head, request.known))
         return stored;
     auto const restored = restore_space(store, prefix, request.known);
     if (!restored.ok())
         return restored.status();
     stored = read_space(store, prefix, request.space);
-    if (lacks_known(stored))
+    if (stored.ok() && lacks_known(stored->head, request.known))
         return absl::UnavailableError(
             "the store has an older generation than this node");
     return stored;
@@ -122,14 +164,18 @@
     auto const stored = read_space(store, prefix, content.space);
     if (!stored.ok())
         return stored.status();
-    if (stored->head.newest >= content.newest)
+    if (!lacks_known(stored->head, known))
         return false;
+    auto const restored =
+        is_member_space(known) && have_diverged(stored->head, known)
+            ? renumber(*stored, known)
+            : restored_space{.head = restored_head(stored->head, known),
+                             .documents = content.documents};
     auto const& present = stored->update.documents;
-    std::vector<store_write> writes{
-        {.key = head_key(prefix, content.space),
-         .value = format_head(restored_head(stored->head, known)),
-         .lease = std::nullopt}};
-    for (auto const& document : content.documents)
+    std::vector<store_write> writes{{.key = head_key(prefix, content.space),
+                                     .value = format_head(restored.head),
+                                     .lease = std::nullopt}};
+    for (auto const& document : restored.documents)
     {
         if (std::find(present.begin(), present.end(), document) ==
             present.end())
--- a/src/pollenhalld/configuration.cpp
+++ b/src/pollenhalld/configuration.cpp
@@ -25,6 +25,8 @@
 {
     auto next = book_;
     auto const result = next.merge(update);
+    if (result == merge_result::unchanged)
+        book_ = std::move(next);
     if (result != merge_result::advanced)
         return result;
     if (!install(next, update))
--- a/src/pollenhalld/control_documents.cpp
+++ b/src/pollenhalld/control_documents.cpp
@@ -131,6 +131,11 @@
     {
         merge(update);
         stored[update.space] = update.newest;
+        auto const own =
+            configuration_.book().changes_since(update.space, update.newest);
+        if (own && own->newest == update.newest &&
+            own->apply_id != update.apply_id)
+            store_again(update.space);
     }
     for (auto const& known : configuration_.book().digests())
     {
--- a/src/standins/store_standin.cpp
+++ b/src/standins/store_standin.cpp
@@ -6,7 +6,8 @@
 // lose_answers (number of transactions whose response is lost after they took
 // effect), stale_reads (bool), silent_watches (bool), expire_leases (bool),
 // compacted (bool), copy (bool; takes a copy of the store) and restore (bool;
-// the store comes back from that copy).
+// the store comes back from that copy) and writes (with `restore`; operations
+// of a transaction that another client had performed before any other call).
 // GET /standin/counters returns the number of calls by path.
 
 #include <pollenhall/io/clocks.hpp>
@@ -218,7 +219,11 @@
                      .revision = revision_,
                      .next_lease = next_lease_};
         if (wanted.value("restore", false))
+        {
             restore();
+            if (wanted.contains("writes"))
+                apply(wanted.at("writes"));
+        }
     }
 
     /// Number of times that the store came back from a copy.
--- a/testsuite/test_daemon_store_restore.py
+++ b/testsuite/test_daemon_store_restore.py
@@ -20,6 +20,12 @@
 EPOCH_LEAD = 3.5
 
 
+def put_operation(key, value):
+    """An operation of a transaction that writes a value."""
+    return {"requestPut": {"key": base64.b64encode(key.encode()).decode(),
+                           "value": base64.b64encode(value.encode()).decode()}}
+
+
 class RestoredStore(DeploymentTestCase):
     """The daemon's store goes back to a copy."""
 
@@ -76,11 +82,17 @@
     def copy_store(self):
         self.deployment.set_store_fault(copy=True)
 
-    def restore_store(self):
-        """The store is away for half a second and comes back."""
+    def restore_store(self, writes=()):
+        """The store is away for half a second and comes back.
+
+        `writes` are values that it then has before any node reads it.
+        """
         self.deployment.set_store_fault(down=True)
         time.sleep(0.5)
-        self.deployment.set_store_fault(restore=True, down=False)
+        self.deployment.set_store_fault(
+            restore=True, down=False,
+            **({"writes": [put_operation(*item) for item in writes]}
+               if writes else {}))
 
     def setUp(self):
         # Each test begins with nodes and store at the same generation.
@@ -141,6 +153,35 @@
         self.assertEqual(reply.result, apply_result.conflict)
         self.wait_in_force(8)
 
+    def change_of_another_node(self, retries):
+        """Values of a change that is based on what the store has now."""
+        head_key = f"/pollenhall/spaces/{SPACE}|head"
+        head = json.loads(self.stored(head_key))
+        head["generation"] += 1
+        head["applies"].insert(0, {"id": "other",
+                                   "generation": head["generation"]})
+        path = "services/stock.ini"
+        text = (DECLARATIONS / path).read_text().replace(
+            "retries = 3", f"retries = {retries}", 1)
+        return [(head_key, json.dumps(head)),
+                (f"/pollenhall/spaces/{SPACE}|documents/{path}",
+                 json.dumps({"generation": head["generation"],
+                             "text": text}))]
+
+    def test_generation_given_out_again_does_not_hide_a_change(self):
+        # A node that has just started knows only what the copy has.
+        for lost in ((1,), (1, 2)):
+            with self.subTest(lost=lost):
+                self.copy_store()
+                writes = self.change_of_another_node(7 + len(lost))
+                for retries in lost:
+                    generation = self.apply(retries).generation
+                self.wait_in_force(lost[-1])
+                self.restore_store(writes)
+                self.wait_in_force(7 + len(lost))
+                self.assertGreater(min(self.generations().values()),
+                                   generation)
+
     def test_changes_go_on_after_several_lost_generations(self):
         from pollenhall_operator.ttypes import apply_result
         self.copy_store()
