pollenhalld: suspicions that a restored store has lost are stored again

Cause: a node stored its crash suspicions once and again only after a change. If the store came back from an older copy and all daemons ended later, the suspicions were gone and the request reached upstreams again.

Change: they are written again every 10 s for as long as they are kept (a lease and a transaction for each node that has any).

Not stored again within 10 s of the restore if the daemons end earlier.

--- a/src/pollenhalld/suspicion_registry.cpp
+++ b/src/pollenhalld/suspicion_registry.cpp
@@ -16,6 +16,8 @@
 
 constexpr milliseconds min_retry_delay{500};
 constexpr milliseconds max_retry_delay{10'000};
+// A store that comes back from an older copy has lost what was written since.
+constexpr milliseconds refresh_interval{10'000};
 
 absl::Status write_value(etcd_store& store, store_write entry,
                          seconds time_to_live)
@@ -43,6 +45,11 @@
 {
     if (is_calling_ || now < next_call_)
         return;
+    if (!stored_.empty() && now >= next_refresh_)
+    {
+        stored_.clear();
+        may_differ_ = true;
+    }
     if (!has_read_)
         read();
     else if (may_differ_)
@@ -145,6 +152,7 @@
     {
         retry_delay_ = milliseconds{0};
         stored_ = written;
+        next_refresh_ = mono_now() + refresh_interval;
         return;
     }
     may_differ_ = true;
--- a/src/pollenhalld/suspicion_registry.hpp
+++ b/src/pollenhalld/suspicion_registry.hpp
@@ -60,6 +60,8 @@
     // What this process has written last.
     std::vector<published_suspicion> stored_;
     bool is_calling_ = false;
+    // When `stored_` is written again, in case the store has lost it.
+    mono_time next_refresh_{};
     mono_time next_call_{};
     milliseconds retry_delay_{0};
 };
--- a/testsuite/test_crashing_requests.py
+++ b/testsuite/test_crashing_requests.py
@@ -344,6 +344,23 @@
         sender.join()
         self.check_crashes()
 
+    def test_quarantine_survives_a_restored_store_and_all_daemons(self):
+        nodes = list(self.deployment.nodes.values())
+        self.deployment.set_store_fault(copy=True)
+        self.send_everywhere(5)
+        self.check_crashes()
+        crashes = len(self.crash_times)
+        self.deployment.set_store_fault(restore=True)
+        time.sleep(12)
+        for node in nodes:
+            node.daemon.kill()
+        time.sleep(RESTART_DELAY_S)
+        for node in nodes:
+            self.start_daemon(node)
+        self.deployment.wait_members()
+        self.send_everywhere(6)
+        self.assertEqual(len(self.crash_times), crashes)
+
     def test_daemon_is_killed_with_each_crashed_upstream(self):
         self.on_crash = self.restart_daemon
         self.send_everywhere(14)
