--- a/src/libpollenhall/store_layout.cpp
+++ b/src/libpollenhall/store_layout.cpp
@@ -2,6 +2,7 @@
 
 #include <pollenhall/store_layout.hpp>
 
+#include <algorithm>
 #include <map>
 #include <optional>
 
@@ -66,6 +67,7 @@
         space.update.actor = space.head.actor;
         if (!space.head.applies.empty())
             space.update.apply_id = space.head.applies.front().id;
+        space.update.applies = space.head.applies;
         for (auto const& [path, value] : raw.documents)
         {
             key = &value->key;
@@ -184,6 +186,37 @@
     return next;
 }
 
+bool have_diverged(space_head const& stored, known_space const& known)
+{
+    for (auto const& item : stored.applies)
+    {
+        auto const own = std::find_if(
+            known.applies.begin(), known.applies.end(),
+            [&](past_apply const& apply) { return apply.made == item.made; });
+        if (own != known.applies.end())
+            return own->id != item.id;
+    }
+    return false;
+}
+
+space_head restored_head(space_head const& stored, known_space const& known)
+{
+    space_head head{.newest = known.content.newest,
+                    .actor = known.content.actor,
+                    .applies = known.applies};
+    for (auto const& item : stored.applies)
+    {
+        if (head.generation_created_by(item.id) == generation(0))
+            head.applies.push_back(item);
+    }
+    std::stable_sort(head.applies.begin(), head.applies.end(),
+                     [](auto const& left, auto const& right)
+                     { return left.made > right.made; });
+    if (head.applies.size() > max_past_applies)
+        head.applies.resize(max_past_applies);
+    return head;
+}
+
 std::vector<versioned_document>
 changed_documents(std::vector<declaration_file> const& current,
                   std::vector<declaration_file> const& wanted, generation made)
--- a/src/pollenhalld/store_agent.cpp
+++ b/src/pollenhalld/store_agent.cpp
@@ -113,7 +113,6 @@
         return;
     }
     reachable_ = true;
-    consecutive_failures_ = 0;
     auto const started = mono_now();
     auto const watched = watch_store_.watch(
         spaces_prefix(prefix_), store_revision(revision->value() + 1),
@@ -124,10 +123,12 @@
     if (absl::IsInternal(watched))
         log_event("store_response_malformed", log_level::warning)
             .add("reason", std::string(watched.message()));
-    // If the store ends watches immediately, for whatever reason, the next
-    // attempt is delayed.
+    // If the store ends watches immediately, for whatever reason, each attempt
+    // is delayed longer than the one before, although the reads succeed.
     if (mono_now() < started + min_watch_duration)
         pause_after_failure();
+    else
+        consecutive_failures_ = 0;
 }
 
 absl::StatusOr<store_revision> store_agent::read_all()
@@ -135,7 +136,7 @@
     auto const view = watch_store_.read_prefix(spaces_prefix(prefix_));
     if (!view.ok())
         return view.status();
-    deliver_spaces(*view);
+    deliver_spaces(*view, true);
     return view->revision;
 }
 
@@ -152,12 +153,12 @@
         reachable_ = view.ok();
         if (!view.ok())
             return false;
-        deliver_spaces(*view);
+        deliver_spaces(*view, false);
     }
     return true;
 }
 
-void store_agent::deliver_spaces(store_view const& view)
+void store_agent::deliver_spaces(store_view const& view, bool complete)
 {
     std::vector<stored_value> values;
     for (auto const& record : view.records)
@@ -173,7 +174,7 @@
             log_event("stored_space_refused", log_level::error)
                 .add("reason", std::string(space.status().message()));
     }
-    events_.on_spaces(std::move(updates));
+    events_.on_spaces(std::move(updates), complete);
 }
 
 void store_agent::pause_after_failure()
