pollenhall-sidecar: an entry written since the restore is not taken for lost

Cause: after a return of the store, each entry that differed from the one known before replaced the stored one for 2 s, also if the host had written the stored one since: peers sent calls to an upstream that drains, and its gate rejected them. Change: is_written_after compares two entries of a host by the starts of node and upstream, the sequence number and what a start never takes back; a later entry is used at once.

--- a/src/include/pollenhall/mesh/departures.hpp
+++ b/src/include/pollenhall/mesh/departures.hpp
@@ -20,6 +20,11 @@
 [[nodiscard]] bool contains_departure(host_entry const& stored,
                                       host_entry const& departing);
 
+/// Whether a host has written the entry `entry` after its entry `known`. False
+/// if the entries do not tell.
+[[nodiscard]] bool is_written_after(host_entry const& entry,
+                                    host_entry const& known);
+
 /// Settings of `departure_replicas`.
 struct departure_replica_options
 {
--- a/src/libpollenhall_mesh/departures.cpp
+++ b/src/libpollenhall_mesh/departures.cpp
@@ -21,6 +21,26 @@
            (stored.left || stored.draining || !departing.draining);
 }
 
+bool is_written_after(host_entry const& entry, host_entry const& known)
+{
+    if (entry.boot != known.boot)
+        return entry.boot > known.boot;
+    if (entry.started && known.started && *entry.started != *known.started)
+        return *entry.started > *known.started;
+    if (entry.incarnation != known.incarnation)
+        return false;
+    if (entry.sequence != known.sequence)
+        return entry.sequence > known.sequence;
+    // The same start of an upstream and of a node takes none of these back.
+    auto const adds = [](host_entry const& later, host_entry const& earlier)
+    {
+        return (later.left && !earlier.left) ||
+               (later.draining && !earlier.draining) ||
+               (later.stopping && !earlier.stopping);
+    };
+    return adds(entry, known) && !adds(known, entry);
+}
+
 departure_replicas::departure_replicas(departure_replica_options options)
     : options_(std::move(options))
 {
--- a/src/libpollenhall_mesh/departures_test.cpp
+++ b/src/libpollenhall_mesh/departures_test.cpp
@@ -67,6 +67,70 @@
     }
 }
 
+// Guards against an entry of an earlier era of the store that is used in place
+// of one that the host has written since.
+TEST_CASE("an entry is written after another by the same host")
+{
+    auto const known = make_entry("1");
+    auto entry = known;
+    auto const is_later = [&]
+    {
+        // Never in both directions.
+        CHECK_FALSE(is_written_after(known, entry));
+        return is_written_after(entry, known);
+    };
+
+    SUBCASE("if it is of a later start of the node")
+    {
+        entry.boot = boot_id(1);
+        entry.started.reset();
+        CHECK(is_later());
+    }
+    SUBCASE("if it is of a later start of the upstream")
+    {
+        entry.started = wall_time(milliseconds{101});
+        CHECK(is_later());
+        entry.incarnation = incarnation_id("i-2");
+        CHECK(is_later());
+    }
+    SUBCASE("if it follows a later heartbeat")
+    {
+        entry.sequence = 1;
+        CHECK(is_later());
+    }
+    SUBCASE("if only there the upstream drains or has left, or the node stops")
+    {
+        SUBCASE("it drains")
+        {
+            entry.draining = true;
+        }
+        SUBCASE("it has left")
+        {
+            entry.left = true;
+        }
+        SUBCASE("it stops")
+        {
+            entry.stopping = true;
+        }
+        CHECK(is_later());
+    }
+    SUBCASE("unless the entries do not tell")
+    {
+        CHECK_FALSE(is_later());
+        SUBCASE("as the start times of two upstreams are not known")
+        {
+            entry.incarnation = incarnation_id("i-2");
+            entry.started.reset();
+            entry.sequence = 1;
+        }
+        SUBCASE("as they differ in what may change in both directions")
+        {
+            entry.slots = 7;
+        }
+        CHECK_FALSE(is_later());
+    }
+}
+
 TEST_CASE("a node asks peers to hold a departure")
 {
     departure_replicas replicas({.own_host = host_address("1")});
--- a/src/pollenhall_sidecar/control_node.cpp
+++ b/src/pollenhall_sidecar/control_node.cpp
@@ -367,7 +367,9 @@
     {
         auto const stored = hosts_.find(host);
         if (host != options_.host &&
-            (stored == hosts_.end() || stored->second != entry))
+            (stored == hosts_.end() ||
+             (stored->second != entry &&
+              !mesh::is_written_after(stored->second, entry))))
             lost_hosts_.insert_or_assign(host, entry);
     }
     if (lost_hosts_.empty())
