pollenhall-sidecar: relays write a departure that a restored store has lost

Change: a relay that keeps a lost departure writes it to the store too, as it does with one that it receives. All relays but one get a conflict: a call each for every lost departure. Limit: a process that reads the store before a relay does.

--- a/src/pollenhall_sidecar/control_node.cpp
+++ b/src/pollenhall_sidecar/control_node.cpp
@@ -402,6 +402,8 @@
             .add("incarnation", entry.incarnation.value())
             .add("draining", entry.draining)
             .add("left", entry.left);
+        // A process that starts on the host reads it there.
+        write_kept_entry(entry);
         departures_.keep(entry, mono_now());
     }
     if (was_empty && !departures_.empty())
