Soak: the stand-in of the store can come back from an older copy

Cause: the platform's drill (the store is away for a moment, comes back from a copy some seconds old and gives revisions out again) was played by no soak. Change: Store.restore(age_s, away_s) goes back to the content of that many seconds ago, resets the open connections, and returns what was lost, so that the operator can write it again; each response names the era in Store-Era; a watch from a revision that the store does not have gets 410. No nodes were run with it.

--- a/testsuite/soak/standins.py
+++ b/testsuite/soak/standins.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import base64
+import bisect
 import hashlib
 import itertools
 import json
@@ -33,12 +34,23 @@
 
 
 class Store:
-    """Key-value store with revisions, watches, transactions and faults."""
+    """Key-value store with revisions, watches, transactions and faults.
+
+    `restore` replaces the content with an older copy, as a store does that is
+    recovered from a backup. Each response names the era, which rises by one
+    with each restore.
+    """
 
     def __init__(self):
+        # Key to (value, revision).
         self.items = {}
+        # (time, revision, key, value) of each change, in the order of their
+        # revisions; the value is None for a removal.
         self.history = []
         self.revision = 1
+        self.era = 1
+        # Requests before this time are aborted.
+        self.away_until = 0.0
         self.compacted = 0
         self.changed = asyncio.Event()
         # "busy" responds with 503, "silent" with nothing. "lossy" executes the
@@ -49,19 +61,52 @@
     def put(self, key, value):
         self.revision += 1
         self.items[key] = (value, self.revision)
-        self._append_history(key)
+        self._append_history(key, value)
 
     def remove(self, key):
         self.revision += 1
         self.items.pop(key, None)
-        self._append_history(key)
+        self._append_history(key, None)
 
     def compact_history(self):
         self.compacted = self.revision
         self._notify_watchers()
 
-    def _append_history(self, key):
-        self.history.append((self.revision, key))
+    def restore(self, age_s, away_s=0.0):
+        """Goes back to the content of `age_s` seconds ago.
+
+        Later changes are lost, also those of the operator and of upstreams,
+        and their revisions are given out again. Open connections are reset,
+        calls in progress are not executed, and for `away_s` all connections
+        are reset. Returns the lost keys with their newest values, None for a
+        removal.
+        """
+        now = time.monotonic()
+        self.away_until = max(self.away_until, now + away_s)
+        kept = bisect.bisect_right(self.history, now - age_s,
+                                   key=lambda change: change[0])
+        lost = {key: value for _, _, key, value in self.history[kept:]}
+        del self.history[kept:]
+        self.revision = self.history[-1][1] if self.history else 1
+        self.compacted = min(self.compacted, self.revision)
+        self.items = {key: (value, revision)
+                      for _, revision, key, value in self.history}
+        self.items = {key: item for key, item in self.items.items()
+                      if item[0] is not None}
+        self.era += 1
+        self._notify_watchers()
+        for connection in list(self.runner.server.connections):
+            if connection.transport:
+                connection.transport.abort()
+        return lost
+
+    async def wait_available(self):
+        """Returns once the store is no longer away."""
+        while (remaining_s := self.away_until - time.monotonic()) > 0:
+            await asyncio.sleep(remaining_s)
+
+    def _append_history(self, key, value):
+        self.history.append((time.monotonic(), self.revision, key, value))
         self._notify_watchers()
 
     def _notify_watchers(self):
@@ -69,28 +114,37 @@
         self.changed = asyncio.Event()
 
     async def start(self, host, port):
-        return await start_server(self.handle, host, port)
+        self.runner = await start_server(self.handle, host, port)
+        return self.runner
 
     async def handle(self, request):
         self.calls += 1
-        fault = self.fault
-        if fault == "busy":
-            return web.json_response({}, status=503)
-        if fault == "silent":
-            await asyncio.sleep(30)
-        if fault == "slow":
-            await asyncio.sleep(1)
+        era, fault = self.era, self.fault
         try:
-            body = await request.read()
+            response = await self.respond(request, fault, era)
         except ConnectionResetError:
             # A proxy has reset the connection, so the response is discarded.
-            return web.Response(status=400)
-        response = await self.dispatch(request, body)
-        if fault == "lossy" and request.transport:
+            response = web.Response(status=400)
+        if ((fault == "lossy" or self.is_gone(era))
+                and request.transport):
             request.transport.abort()
+        response.headers["Store-Era"] = str(era)
         return response
 
-    async def dispatch(self, request, body):
+    def is_gone(self, era):
+        """Whether the store is away or was restored since `era`."""
+        return era != self.era or time.monotonic() < self.away_until
+
+    async def respond(self, request, fault, era):
+        if fault == "busy":
+            return web.json_response({}, status=503)
+        if fault == "silent":
+            await asyncio.sleep(30)
+        if fault == "slow":
+            await asyncio.sleep(1)
+        body = await request.read()
+        if self.is_gone(era):
+            return web.json_response({}, status=503)
         call = request.path.rsplit("/", 1)[1]
         query = request.query
         if call == "kv-range":
@@ -100,7 +154,7 @@
                                       "store_revision": self.revision})
         if call == "kv-watch":
             return await self.watch(query["prefix"], int(query["after"]),
-                                    int(query["wait_ms"]) / 1000)
+                                    int(query["wait_ms"]) / 1000, era)
         if call == "kv-txn":
             return self.transact(json.loads(body))
         return web.json_response({}, status=404)
@@ -113,12 +167,13 @@
                 "value": base64.b64encode(value.encode()).decode(),
                 "lease": 0}
 
-    async def watch(self, prefix, after, wait_s):
+    async def watch(self, prefix, after, wait_s, era):
         end = time.monotonic() + wait_s
         while True:
-            if after < self.compacted:
+            if not self.compacted <= after <= self.revision or (
+                    era != self.era):
                 return web.json_response({}, status=410)
-            keys = {key: revision for revision, key in self.history
+            keys = {key: revision for _, revision, key, _ in self.history
                     if revision > after and key.startswith(prefix)}
             remaining_s = end - time.monotonic()
             if keys or remaining_s <= 0:
