--- a/testsuite/test_store_restore.py
+++ b/testsuite/test_store_restore.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import bisect
+import collections
 import json
 import pathlib
 import signal
@@ -401,10 +402,18 @@
 
     def check_requests(self, nodes):
         self.assertEqual(self.fleet.record.findings, [])
-        served = [served for _, node, served in self.callers.outcomes
-                  if node in nodes]
-        self.assertGreaterEqual(sum(served), MIN_RECOVERED_SHARE * len(served),
-                                f"served, of {len(served)} requests")
+        outcomes = [(round(sent - self.begin, 1), served)
+                    for sent, node, served in self.callers.outcomes
+                    if node in nodes]
+        unserved = collections.Counter(at for at, served in outcomes
+                                       if not served)
+        statuses = collections.Counter(status for _, status
+                                       in self.callers.rejected)
+        self.assertLessEqual(
+            sum(unserved.values()), (1 - MIN_RECOVERED_SHARE) * len(outcomes),
+            f"requests not served, of {len(outcomes)}; when, in seconds since "
+            f"the begin: {sorted(unserved.items())}; rejected, by status: "
+            f"{dict(statuses)}; {self.delay_note()}")
 
     async def kill_as_the_store_returns(self, nodes):
         """Kills nodes so that they start just after the store is back."""
