test_store_restore: a late heartbeat within and beyond the rule

The node that starts accepts the heartbeat, reads its older entry, and gives its upstream calls for 0.3 to 0.5 s, until peers send the departure (twice a second): node_started 17.087, upstream_changed cause=heartbeat 17.095, upstream_changed cause=peer left=1 17.570. A node is not in touch for three seconds after its start, so the rule DRAIN excuses these calls; the platform's own promise is stricter than that. Change: the test stays as it is. A second one checks the same from the time on at which the node is in touch, so that this is guarded in any case.

--- a/testsuite/test_store_restore.py
+++ b/testsuite/test_store_restore.py
@@ -483,7 +483,12 @@
         self.check_no_regression()
         self.check_calls()
 
-    async def test_late_heartbeat_does_not_undo_a_lost_departure(self):
+    async def lose_departures(self):
+        """Restarts nodes whose upstreams left, with a late heartbeat each.
+
+        One upstream drained and one deregistered, both were acknowledged, and
+        the store lost it. Returns the two nodes.
+        """
         self.copy_time = time.monotonic()
         self.configure()
         drained, deregistered = self.nodes[0], self.nodes[6]
@@ -496,16 +501,32 @@
             # Both send no further heartbeat, and would run what they get.
             for task in node.upstream.tasks:
                 task.cancel()
+        # The departures have to be known to other nodes.
         await asyncio.sleep(1.5)
         self.restore()
         await self.kill_as_the_store_returns(left)
         await asyncio.gather(*(self.send_late_heartbeat(node)
                                for node in left))
-        await asyncio.sleep(3)
+        return left
+
+    def check_departures(self):
         self.assertEqual(
             [finding for finding in self.fleet.record.findings
              if "reached" in finding], [])
 
+    async def test_late_heartbeat_does_not_undo_a_lost_departure(self):
+        await self.lose_departures()
+        await asyncio.sleep(3)
+        self.check_departures()
+
+    async def test_late_heartbeat_has_no_effect_on_a_node_in_touch(self):
+        for node in await self.lose_departures():
+            # The node is in touch, and its requests count, from then on.
+            node.mark_impaired(0)
+        self.fleet.record.findings.clear()
+        await asyncio.sleep(TOUCH_S + 1)
+        self.check_departures()
+
     async def send_late_heartbeat(self, node):
         """Sends a heartbeat from before the departure to a node that starts."""
         upstream = node.upstream
