--- a/testsuite/test_store_restore.py
+++ b/testsuite/test_store_restore.py
@@ -542,6 +542,7 @@
         await self.lose_departures()
         await asyncio.sleep(3)
         self.check_departures()
+        self.check_reads()
 
     async def test_late_heartbeat_has_no_effect_on_a_node_in_touch(self):
         for node in await self.lose_departures():
@@ -550,9 +551,10 @@
         self.fleet.record.findings.clear()
         await asyncio.sleep(TOUCH_S + 1)
         self.check_departures()
+        self.check_reads()
 
     async def send_late_heartbeat(self, node):
-        """Sends a heartbeat from before the departure to a node that starts."""
+        """Sends a heartbeat from before the departure to a starting node."""
         upstream = node.upstream
         body = {"service": upstream.service,
                 "address": f"{node.proxy_address}:{upstream.port}",
