Soak: draws restores of the store from an older copy

Cause: no soak played the platform's drill. Checked are the delay of the configuration written then (in force once 2 s have passed and the store has been back for 3 s, which is stricter than 2 s + 5 s), what was checked before (a restore excuses no lost connection in a planned stop), and the calls to the store in the 2 s after its return: 11 a node, from two reads, two writes of the entry and a watch each 0.3 s (batch delay).

--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -28,6 +28,10 @@
 APPLY_BOUND_S = 2.0
 # Added to APPLY_BOUND_S while the store is unstable.
 UNSTABLE_STORE_EXTRA_S = 5.0
+# Calls of one node to the store in the time below after a restore: two reads,
+# two writes of its entry, and watches that end after a batch delay of 0.3 s.
+MAX_CALLS_AFTER_RESTORE = 11
+CALLS_AFTER_RESTORE_S = 2.0
 RETRY_BUDGET_RATIO = 0.2
 RETRY_BUDGET_SLACK = 47
 RETRY_WINDOW_S = 10.0
@@ -62,7 +66,13 @@
                            SERVICES[number // 3 % 3])
                       for number in range(hosts)]
         self.version = 0
+        # The newest configuration, as the operator wrote it.
+        self.configuration = ""
         self.store_impaired_until = 0.0
+        # A restore excuses less than another impairment of the store.
+        self.store_restored_until = 0.0
+        # Calls of each node after each restore.
+        self.calls_after_restore = []
 
     def port(self, offset):
         return self.base_port + offset
@@ -95,13 +105,19 @@
         # A node without this version responds with 404 to the version's host.
         hosts = [{"host": "soak.example", "paths": paths},
                  {"host": f"v{self.version}.example", "paths": paths}]
-        self.store.put("op/config", json.dumps({
+        self.configuration = json.dumps({
             "version": self.version, "virtual_hosts": hosts,
             "services": [{"name": name, "health_path": "/health",
                           "max_connections": 500} for name in SERVICES],
             "limits": {"max_header_bytes": 16384, "max_body_bytes": 1 << 20,
                        "header_timeout_ms": 3000,
-                       "idle_timeout_ms": 15000}}))
+                       "idle_timeout_ms": 15000}})
+        self.store.put("op/config", self.configuration)
+
+    def write_lost_configuration(self):
+        """Writes the newest configuration again if the store has lost it."""
+        if self.store.items.get("op/config", ("",))[0] != self.configuration:
+            self.store.put("op/config", self.configuration)
 
     async def start(self):
         self.runner = await self.store.start("127.0.0.1", self.store_port)
@@ -292,12 +308,16 @@
         self.random = fleet.random
         self.kinds = (self.stop, self.kill, self.pause, self.reload,
                       self.harm_link, self.harm_link, self.harm_store,
-                      self.configure, self.crash_upstream,
+                      self.restore_store, self.restore_store, self.configure, self.crash_upstream,
                       self.drain_upstream, self.weaken_upstream,
                       self.weaken_service)
-        if planned_only or self.random.random() < PLANNED_ONLY_SHARE:
-            self.kinds = (self.stop, self.reload, self.configure,
-                          self.drain_upstream)
+        planned = (self.stop, self.reload, self.configure,
+                   self.drain_upstream)
+        if planned_only:
+            self.kinds = planned
+        elif self.random.random() < PLANNED_ONLY_SHARE:
+            # A restored store excuses nothing in planned operations.
+            self.kinds = planned + (self.restore_store,)
 
     async def series(self, until):
         while time.monotonic() < until:
@@ -350,15 +370,57 @@
         store.fault = None
         self.fleet.mark_store_impaired(1)
 
+    async def restore_store(self, _node, _for_s):
+        fleet = self.fleet
+        for _ in range(self.random.choice((1, 1, 1, 2))):
+            away_s = self.random.uniform(0.1, 1)
+            fleet.store.restore(self.random.uniform(0.5, 5), away_s)
+            await asyncio.sleep(away_s)
+        await fleet.store.wait_available()
+        returned = time.monotonic()
+        fleet.store_restored_until = returned + FAULT_IMPACT_BOUND_S
+        calls, era = fleet.store.calls, fleet.store.era
+        await asyncio.sleep(self.random.choice((0, 0.1, 0.5)))
+        await fleet.store.wait_available()
+        fleet.write_lost_configuration()
+        if self.random.random() < 0.5:
+            await asyncio.sleep(self.random.choice((0, 0, 0.2, 1)))
+            await fleet.store.wait_available()
+            fleet.configure()
+        await self.check_in_force()
+        await asyncio.sleep(returned + CALLS_AFTER_RESTORE_S
+                            - time.monotonic())
+        if era == fleet.store.era:
+            self.check_calls_after_restore(fleet.store.calls - calls)
+
+    def check_calls_after_restore(self, calls):
+        calls_per_node = calls / len(self.fleet.nodes)
+        self.fleet.calls_after_restore.append(calls_per_node)
+        if calls_per_node > MAX_CALLS_AFTER_RESTORE:
+            self.fleet.record.add_finding(
+                f"{calls} calls to the store in {CALLS_AFTER_RESTORE_S:.0f} s "
+                "after a restore")
+
     async def configure(self, _node, _for_s):
+        await self.fleet.store.wait_available()
         self.fleet.configure()
-        version = self.fleet.version
-        calm = time.monotonic() >= self.fleet.store_impaired_until
-        bound = APPLY_BOUND_S + HARNESS_DELAY_S * 2 + (
-            0 if calm else UNSTABLE_STORE_EXTRA_S)
+        await self.check_in_force()
+
+    async def check_in_force(self):
+        """Checks the delay until stable nodes serve the version just written.
+
+        After a restore of the store the bound applies to nodes in touch: they
+        serve the version once the impairment has ended, however old it is.
+        """
+        fleet = self.fleet
+        version, era, now = fleet.version, fleet.store.era, time.monotonic()
+        calm = now >= fleet.store_impaired_until
+        bound = HARNESS_DELAY_S * 2 + (
+            max(APPLY_BOUND_S, fleet.store_restored_until - now) if calm
+            else APPLY_BOUND_S + UNSTABLE_STORE_EXTRA_S)
         if not await self.versions.wait_in_force(version, bound) and (
-                calm and time.monotonic() >= self.fleet.store_impaired_until
-                and version == self.fleet.version):
+                calm and time.monotonic() >= fleet.store_impaired_until
+                and era == fleet.store.era and version == fleet.version):
             late = [node.number for node in self.fleet.nodes
                     if self.versions.is_stable(node) and
                     self.versions.seen.get((node, node.start_count), 0)
@@ -501,6 +563,8 @@
     print(f"seed {seed}: {callers.sequence} requests, "
           f"{served / max(1, len(callers.outcomes)):.3f} served, "
           f"{share:.3f} after the faults, "
+          f"{len(fleet.calls_after_restore)} restores with at most "
+          f"{max(fleet.calls_after_restore, default=0):.1f} calls a node, "
           f"{len(fleet.record.findings)} findings", flush=True)
     for finding in fleet.record.findings[:20]:
         print(f"  {finding}")
