Soak: a mutation that goes back to an older configuration

Cause: the soak had no fault that delivers an older configuration to a node; a restore of the store does, so that the guarantee can be broken from outside. Change: a mutation that takes any other version than the one in force. The operator writes a lost configuration up to 1 s after the return of the store, before 0.5 s.

--- a/testsuite/soak/mutations.py
+++ b/testsuite/soak/mutations.py
@@ -1,12 +1,7 @@
 #!/usr/bin/python3
 """Mutation test of the soak: breaks one guarantee at a time in a copy of the
 sources, builds the copy and reports whether the soak detects it. Started
-manually, as each mutation takes a build and a few seeds.
-
-No mutation covers the guarantee that a configuration is never replaced by an
-older one: no external fault delivers an older configuration to a node that has
-a newer one. platform_test checks it.
-"""
+manually, as each mutation takes a build and a few seeds."""
 
 import argparse
 import dataclasses
@@ -71,6 +66,10 @@
              "platform/store_client.cpp",
              "    return store_era(value);",
              "    return store_era();"),
+    Mutation("a configuration is never replaced by an older one",
+             "src/pollenhall_sidecar/control_node.cpp",
+             "    if (decoded->version <= version())",
+             "    if (decoded->version == version())"),
 )
 
 
--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -383,7 +383,7 @@
         returned = time.monotonic()
         fleet.store_restored_until = returned + FAULT_IMPACT_BOUND_S
         calls, era = fleet.store.calls, fleet.store.era
-        await asyncio.sleep(self.random.choice((0, 0.1, 0.5)))
+        await asyncio.sleep(self.random.choice((0, 0.1, 0.5, 1)))
         await fleet.store.wait_available()
         fleet.write_lost_configuration()
         if self.random.random() < 0.5:
