--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -311,7 +311,8 @@
         self.random = fleet.random
         self.kinds = (self.stop, self.kill, self.pause, self.reload,
                       self.harm_link, self.harm_link, self.harm_store,
-                      self.restore_store, self.restore_store, self.configure, self.crash_upstream,
+                      self.restore_store, self.restore_store,
+                      self.configure, self.crash_upstream,
                       self.drain_upstream, self.weaken_upstream,
                       self.weaken_service)
         planned = (self.stop, self.reload, self.configure,
