pollenhall-sidecar: a configuration that cannot be read is not requested without a pause

Change: it is sent at once again, and a peer that offers a document that cannot be read counts as one that cannot be relied on, like one without changes.

--- a/src/pollenhall_sidecar/change_feed.cpp
+++ b/src/pollenhall_sidecar/change_feed.cpp
@@ -154,7 +154,8 @@
     bool const is_behind = wanted.after.era() > known.era();
     if (is_behind && on_later_era_)
         on_later_era_(mesh::host_address(from->remote_host()));
-    if (!current_ || *wait == 0 || known > wanted.after || is_behind)
+    if (!current_ || *wait == 0 || known > wanted.after || is_behind ||
+        has_newer_configuration(wanted))
         return respond(from, wanted);
     auto const request_id = ++last_request_id_;
     pending_.emplace(
--- a/src/pollenhall_sidecar/control_node.cpp
+++ b/src/pollenhall_sidecar/control_node.cpp
@@ -433,7 +433,7 @@
         version(), is_stored ? std::string() : configuration_document_);
 }
 
-void control_node::apply_configuration(std::string const& text,
+bool control_node::apply_configuration(std::string const& text,
                                        std::string_view source)
 {
     auto decoded = decode_(text);
@@ -442,7 +442,7 @@
         log_event("configuration_not_readable", log_level::error)
             .add("source", source)
             .add("error", std::string(decoded.status().message()));
-        return;
+        return false;
     }
     if (decoded->version <= version())
     {
@@ -450,7 +450,7 @@
             .add("source", source)
             .add("version", decoded->version.value())
             .add("in_force", version().value());
-        return;
+        return true;
     }
     log_event("configuration_in_force")
         .add("source", source)
@@ -466,6 +466,7 @@
     if (is_first)
         timers_.after(first_heartbeat_timeout,
                       [this] { check_upstream_health(); });
+    return true;
 }
 
 mesh::host_address control_node::host_of_key(std::string const& key) const
--- a/src/pollenhall_sidecar/control_node.hpp
+++ b/src/pollenhall_sidecar/control_node.hpp
@@ -125,7 +125,8 @@
     // Keeps the departures that the store has lost for later processes of their
     // nodes.
     void keep_lost_departures(host_entries const& known_hosts);
-    void apply_configuration(std::string const& text, std::string_view source);
+    // Returns whether the document can be read; it need not be a newer one.
+    bool apply_configuration(std::string const& text, std::string_view source);
     // Tells peers of the configuration in force if the store has an older one.
     void offer_unstored_configuration();
     void apply_host(store_item const& item);
@@ -199,8 +200,9 @@
     // unreachable for long enough.
     void probe_next_host();
     void remove_entry(mesh::host_address const& host);
-    // Applies a peer's response. Returns false if there is no valid response or
-    // if the peer itself does not receive changes of the store.
+    // Applies a peer's response. Returns false if the peer cannot be relied on:
+    // there is no valid response, it does not receive changes of the store, or
+    // it is of an earlier era.
     bool apply_peer_response(mesh::host_address const& host,
                              exchange_result const& result);
 
--- a/src/pollenhall_sidecar/control_peers.cpp
+++ b/src/pollenhall_sidecar/control_peers.cpp
@@ -217,10 +217,13 @@
     bool const is_behind =
         report->changes.revision.era() < mirror_.revision().era();
     apply_changes(report->changes, "peer");
-    if (report->newer_configuration)
+    // The peer responds at once for as long as it has a newer configuration, so
+    // one that cannot be read would be requested without a pause.
+    bool const is_readable =
+        !report->newer_configuration ||
         apply_configuration(*report->newer_configuration, "peer");
     publish_entry();
-    return report->current && !is_behind;
+    return report->current && !is_behind && is_readable;
 }
 
 server_handlers control_node::peer_handlers()
