--- a/src/pollenhall_sidecar/change_feed_test.cpp
+++ b/src/pollenhall_sidecar/change_feed_test.cpp
@@ -156,8 +156,7 @@
             {R"()", R"([])", R"({"complete":true,"current":true,"items":[]})",
              R"({"at":1,"era":"2","complete":true,"current":true,"items":[]})",
              R"({"at":1,"era":null,"complete":true,"current":true,"items":[]})",
-             R"({"at":1,"complete":true,"current":true,"items":[],)"
-             R"("configuration":{}})"})
+             R"({"at":1,"complete":true,"current":true,"items":[],"configuration":{}})"})
         {
             CAPTURE(text);
             CHECK(absl::IsInvalidArgument(parse_changes(text).status()));
--- a/src/pollenhalld/configuration.cpp
+++ b/src/pollenhalld/configuration.cpp
@@ -25,13 +25,13 @@
 {
     auto next = book_;
     auto const result = next.merge(update);
-    if (result == merge_result::unchanged)
+    if (result == merge_result::advanced && !install(next, update))
+        return merge_result::unchanged;
+    // An update that changes nothing may add its record of applies.
+    if (result != merge_result::gap)
         book_ = std::move(next);
     if (result != merge_result::advanced)
         return result;
-    if (!install(next, update))
-        return merge_result::unchanged;
-    book_ = std::move(next);
     log_event("update_in_force")
         .add("space", update.space)
         .add("generation", update.newest.value())
