--- a/src/libpollenhall/document_book_test.cpp
+++ b/src/libpollenhall/document_book_test.cpp
@@ -122,6 +122,71 @@
     CHECK(node.newest(space) == generation(0));
 }
 
+// Guards against an apply that is performed again because the store lost it.
+TEST_CASE("a space that the store has lost is stored again")
+{
+    space_history history;
+    for (int i = 1; i <= 3; ++i)
+        history.change({{.path = "a", .text = std::to_string(i)}});
+    space_head copy;
+    copy = next_head(copy, "1", "test");
+    auto const known = *history.newest.known(space);
+    auto const head = restored_head(copy, known);
+    CHECK(head.newest == generation(3));
+    CHECK(head.actor == "test");
+    SUBCASE("the head names each apply once, the latest first")
+    {
+        CHECK(head.applies ==
+              std::vector<past_apply>{{.id = "3", .made = generation(3)},
+                                      {.id = "2", .made = generation(2)},
+                                      {.id = "1", .made = generation(1)}});
+    }
+    SUBCASE("a copy is no other history")
+    {
+        CHECK_FALSE(have_diverged(copy, known));
+        CHECK_FALSE(have_diverged({}, known));
+    }
+    SUBCASE("a generation that was given out again is another history")
+    {
+        CHECK(have_diverged(next_head(copy, "other", "test"), known));
+    }
+    SUBCASE("the store's record names generations that a node passed over")
+    {
+        auto const stored = next_head(
+            next_head(next_head({}, "1", "test"), "2", "test"), "3", "test");
+        auto content = known.content;
+        document_book late;
+        late.merge(content);
+        CHECK(late.known(space)->applies.size() == 1);
+        content.applies = stored.applies;
+        late.merge(content);
+        CHECK(late.known(space)->applies == stored.applies);
+    }
+    SUBCASE("histories that met again are one")
+    {
+        auto const met =
+            next_head(next_head(next_head({}, "1", "test"), "other", "test"),
+                      "3", "test");
+        CHECK_FALSE(have_diverged(met, known));
+    }
+    SUBCASE("the head keeps applies that the node has not received")
+    {
+        document_book late;
+        late.merge(known.content);
+        CHECK(restored_head(copy, *late.known(space)).applies ==
+              std::vector<past_apply>{{.id = "3", .made = generation(3)},
+                                      {.id = "1", .made = generation(1)}});
+    }
+    SUBCASE("the head names no more applies than any other")
+    {
+        for (std::size_t i = 4; i <= max_past_applies + 4; ++i)
+            history.change({{.path = "a", .text = std::to_string(i)}});
+        CHECK(
+            restored_head(copy, *history.newest.known(space)).applies.size() ==
+            max_past_applies);
+    }
+}
+
 TEST_CASE("spaces are unchanged after formatting and parsing")
 {
     CHECK(rc::check(
--- a/src/pollenhall_sidecar/control_node.cpp
+++ b/src/pollenhall_sidecar/control_node.cpp
@@ -7,7 +7,6 @@
 #include <pollenhall/io/log_event.hpp>
 
 #include <algorithm>
-#include <tuple>
 
 namespace pollenhall::sidecar
 {
@@ -44,13 +43,6 @@
 // The number is low; the first heartbeat replaces it within seconds.
 constexpr int assumed_slots = 32;
 
-// Orders the entries that a host has written one after the other.
-auto write_order(mesh::host_entry const& entry)
-{
-    return std::tuple(entry.boot, entry.started, entry.sequence, entry.left,
-                      entry.draining);
-}
-
 } // namespace
 
 control_node::control_node(asio::io_context& context, node_options options,
@@ -381,7 +373,8 @@
         auto const stored = hosts_.find(host);
         if (host != options_.host &&
             (stored == hosts_.end() ||
-             write_order(stored->second) < write_order(entry)))
+             (stored->second != entry &&
+              !mesh::is_written_after(stored->second, entry))))
             lost_hosts_.insert_or_assign(host, entry);
         else
             lost_hosts_.erase(host);
@@ -422,6 +415,7 @@
             .add("incarnation", entry.incarnation.value())
             .add("draining", entry.draining)
             .add("left", entry.left);
+        // A process that starts on the host reads it there.
         write_kept_entry(entry);
         departures_.keep(entry, mono_now());
     }
@@ -439,7 +433,7 @@
         version(), is_stored ? std::string() : configuration_document_);
 }
 
-void control_node::apply_configuration(std::string const& text,
+bool control_node::apply_configuration(std::string const& text,
                                        std::string_view source)
 {
     auto decoded = decode_(text);
@@ -448,7 +442,7 @@
         log_event("configuration_not_readable", log_level::error)
             .add("source", source)
             .add("error", std::string(decoded.status().message()));
-        return;
+        return false;
     }
     if (decoded->version <= version())
     {
@@ -456,7 +450,7 @@
             .add("source", source)
             .add("version", decoded->version.value())
             .add("in_force", version().value());
-        return;
+        return true;
     }
     log_event("configuration_in_force")
         .add("source", source)
@@ -472,6 +466,7 @@
     if (is_first)
         timers_.after(first_heartbeat_timeout,
                       [this] { check_upstream_health(); });
+    return true;
 }
 
 mesh::host_address control_node::host_of_key(std::string const& key) const
