--- a/src/include/pollenhall/mesh/store_mirror.hpp
+++ b/src/include/pollenhall/mesh/store_mirror.hpp
@@ -79,8 +79,9 @@
     explicit store_mirror(std::size_t max_removed = 1'024);
 
     /// Merges an update and returns the items that changed. A complete update
-    /// of a later era replaces all items. Ignored are updates of an earlier era
-    /// and changes of a later one: they do not say what that era began with.
+    /// of a later era replaces all items. Updates of an earlier era are
+    /// ignored, and so are partial updates of a later one, which do not show
+    /// what that era began with.
     std::vector<store_item> apply(store_items const& update);
     /// Returns the changes after the revision `after`, for a node that is up to
     /// date at that revision. Returns all items, marked as complete, if
--- a/src/pollenhall_sidecar/change_feed.cpp
+++ b/src/pollenhall_sidecar/change_feed.cpp
@@ -77,7 +77,7 @@
     try
     {
         auto const in = json::parse(text);
-        // Nodes of earlier builds know no eras.
+        // Earlier builds do not report an era.
         store_era const era(in.value("era", std::int64_t{0}));
         change_report report{
             .changes = {.revision = store_revision(
@@ -140,8 +140,8 @@
             .add("from", from->remote_host());
         return from->respond({.status = 404}, false);
     }
-    // Nodes of earlier builds know no eras and take no configuration that the
-    // store does not have.
+    // Earlier builds send neither an era nor a version. Their revision counts
+    // as one of this era, and they are not sent a configuration.
     auto const known = mirror_.revision();
     changes_request const wanted{
         .after = store_revision(*after,
--- a/src/pollenhall_sidecar/change_feed.hpp
+++ b/src/pollenhall_sidecar/change_feed.hpp
@@ -31,7 +31,8 @@
 struct changes_request
 {
     store_revision after;
-    // The peer may hold the response for so long if there are none.
+    // Longest time for which the peer may hold the response while there are no
+    // changes.
     milliseconds wait{0};
     // Version of the configuration in force on the requesting node.
     mesh::config_version version;
@@ -58,12 +59,13 @@
     /// requests get an immediate response, so that peers can turn to another
     /// node.
     void set_current(bool current);
-    /// Sets the configuration in force if the store has only an older one, as
-    /// after it has come back from an older copy; otherwise an empty document.
+    /// Sets the configuration in force if it differs from the one in the store,
+    /// as after the store has come back from an older copy. An empty document
+    /// means that the store has it.
     void set_unstored_configuration(mesh::config_version version,
                                     std::string document);
-    /// Sets a handler that is called when a peer knows a later era of the
-    /// store.
+    /// Sets a handler that is called with the address of a peer that knows a
+    /// later era of the store. The address may be empty.
     void set_later_era_handler(
         std::function<void(mesh::host_address const&)> handler);
     /// Responds to all pending requests. Must be called after the mirror has
--- a/src/pollenhall_sidecar/control_node.cpp
+++ b/src/pollenhall_sidecar/control_node.cpp
@@ -28,8 +28,8 @@
 // How often the node checks for an available peer while it backs off from the
 // store.
 constexpr milliseconds peer_recheck_interval{200};
-// How long entries that the store has lost are in use. Hosts that live and
-// reach the store have written theirs again by then.
+// How long entries that the store has lost stay in use. By then, live hosts
+// that reach the store have written theirs again.
 constexpr milliseconds lost_entry_lifetime{2'000};
 // Time that the upstream has to send its first heartbeat before its health
 // endpoint is called.
@@ -228,8 +228,8 @@
                                   absl::Status const& status)
 {
     // The store is reachable but does not have the history after the requested
-    // revision. The first read follows at once. If the store has no history
-    // after that either, further ones are delayed.
+    // revision. The first complete read follows at once; if the next watch
+    // fails in the same way, further reads are delayed.
     if (status.code() == absl::StatusCode::kOutOfRange)
     {
         log_event("store_history_gone", log_level::warning)
@@ -287,12 +287,12 @@
 void control_node::apply_changes(store_items const& update,
                                  std::string_view source)
 {
-    auto const own_key = layout_.hosts_prefix + options_.host.value();
+    auto const own_key = this->own_key();
     auto const before = mirror_.revision();
     host_entries known_hosts;
     if (update.revision.era() > before.era())
     {
-        // Entries that an earlier restore has lost are newer than the stored.
+        // An entry lost in an earlier restore is newer than the stored one.
         known_hosts = lost_hosts_;
         known_hosts.insert(hosts_.begin(), hosts_.end());
     }
@@ -326,7 +326,8 @@
             hosts_changed = true;
         }
     }
-    // A complete update does not list a key that the mirror never had.
+    // The changes do not include the removal of a key that the mirror never
+    // held.
     if (update.complete && published_entry_ &&
         mirror_.find(own_key) == nullptr &&
         mirror_.revision() >= published_revision_)
@@ -352,7 +353,7 @@
                                   host_entries const& known_hosts)
 {
     metrics_.set_store_era(mirror_.revision().era().value());
-    // The first response names the era, too.
+    // The first era after the start of this process is not a restore.
     if (known == store_revision())
         return;
     log_event("store_restored", log_level::warning)
@@ -361,7 +362,7 @@
         .add("known_era", known.era().value())
         .add("known_revision", known.number());
     use_lost_entries(known_hosts);
-    // Relays do so for all others.
+    // Only relays do this, because each of them calls the store.
     if (relays_.is_default_relay())
         keep_lost_departures(known_hosts);
 }
@@ -386,8 +387,8 @@
                   {
                       if (era != mirror_.revision().era())
                           return;
-                      // An older entry in the store says nothing new: its host
-                      // would have written it again, too.
+                      // Entries that the store has in an older state stay
+                      // replaced until their hosts write them.
                       auto const dropped = std::erase_if(
                           lost_hosts_, [&](auto const& lost)
                           { return !hosts_.contains(lost.first); });
@@ -415,11 +416,11 @@
             .add("incarnation", entry.incarnation.value())
             .add("draining", entry.draining)
             .add("left", entry.left);
-        // A process that starts on the host reads it there.
+        // A process that starts on that host reads the store first.
         write_kept_entry(entry);
         departures_.keep(entry, mono_now());
     }
-    // At once: the next process may have started already.
+    // The next process may have started already, so nothing delays this.
     if (was_empty && !departures_.empty())
         send_kept_entries();
 }
@@ -543,6 +544,11 @@
     traffic_.set_hosts(std::move(all));
 }
 
+std::string control_node::own_key() const
+{
+    return layout_.hosts_prefix + options_.host.value();
+}
+
 mesh::host_entry control_node::own_entry() const
 {
     auto const& upstream = *registration_.current();
@@ -591,8 +597,7 @@
             return;
     }
     writing_ = true;
-    auto const key = layout_.hosts_prefix + options_.host.value();
-    store_.write(key, text, published_revision_,
+    store_.write(own_key(), text, published_revision_,
                  [this, text](absl::StatusOr<store_revision> const& written)
                  { on_entry_written(text, written); });
 }
@@ -610,11 +615,10 @@
         published_entry_ = text;
         published_revision_ = *written;
         if (written->era() == mirror_.revision().era())
-            mirror_.apply(
-                {.items = {{.key = layout_.hosts_prefix + options_.host.value(),
-                            .value = text,
-                            .revision = *written}},
-                 .revision = mirror_.revision()});
+            mirror_.apply({.items = {{.key = own_key(),
+                                      .value = text,
+                                      .revision = *written}},
+                           .revision = mirror_.revision()});
         log_event("host_entry_written")
             .add("revision", written->number())
             .add("ready", own_entry().ready);
@@ -624,8 +628,8 @@
     log_event("host_entry_not_written", log_level::warning)
         .add("error", written.ok() ? "written before the store was restored"
                                    : std::string(written.status().message()));
-    // The revision did not match or the outcome is unknown: the key is read
-    // before the next write.
+    // The revision did not match, the outcome is unknown, or the store may have
+    // lost the write: the key is read before the next write.
     must_read_own_entry_ = true;
     write_retry_delay_ = jittered(std::clamp(
         write_retry_delay_ * 2, min_store_retry_delay, max_store_retry_delay));
@@ -638,7 +642,7 @@
         std::max({retry_delay_, write_retry_delay_, min_store_retry_delay}),
         [this]
         {
-            store_.read(layout_.hosts_prefix + options_.host.value(),
+            store_.read(own_key(),
                         [this](absl::StatusOr<store_items> const& items)
                         { on_own_entry_read(items); });
         });
@@ -658,7 +662,7 @@
     published_entry_.reset();
     published_revision_ = store_revision();
     for (auto const& item : items->items)
-        if (item.key == layout_.hosts_prefix + options_.host.value())
+        if (item.key == own_key())
         {
             published_entry_ = item.value;
             published_revision_ = item.revision;
--- a/src/pollenhall_sidecar/control_node.hpp
+++ b/src/pollenhall_sidecar/control_node.hpp
@@ -94,11 +94,11 @@
     // Meanwhile a relay may become known.
     void postpone_watch();
     void retry_after_store_error();
-    // Latest era that the store or a peer has named. The mirror may be of an
+    // Latest era that the store or a peer has reported. The mirror may be of an
     // earlier one.
     [[nodiscard]] store_era latest_era() const;
-    // Reads the store if a response has named a later era than that of the
-    // mirror. The watch that is open may take seconds to end.
+    // Reads the store if a response has reported a later era than that of the
+    // mirror. The open watch may not show this before it ends.
     void read_later_era();
     // A random time between half of `delay` and `delay`.
     [[nodiscard]] milliseconds jittered(milliseconds delay);
@@ -119,8 +119,8 @@
     // The store has come back from an older copy. `known` and `known_hosts` are
     // what was known before.
     void on_era_changed(store_revision known, host_entries const& known_hosts);
-    // Goes on using the entries that the store has lost for a while. Hosts that
-    // live write theirs again.
+    // Uses entries that the store has lost for some time longer. Live hosts
+    // write theirs again meanwhile.
     void use_lost_entries(host_entries const& known_hosts);
     // Keeps the departures that the store has lost for later processes of their
     // nodes.
@@ -170,6 +170,8 @@
     void publish_hosts();
     void upstream_changed(std::string_view cause);
     [[nodiscard]] mesh::host_entry own_entry() const;
+    // Key of the entry of this host.
+    [[nodiscard]] std::string own_key() const;
     void publish_entry();
     // `text` is the entry that was written.
     void on_entry_written(std::string const& text,
@@ -201,8 +203,8 @@
     void probe_next_host();
     void remove_entry(mesh::host_address const& host);
     // Applies a peer's response. Returns false if the peer cannot be relied on:
-    // there is no valid response, it does not receive changes of the store, or
-    // it is of an earlier era.
+    // its response or the configuration in it is not valid, it does not receive
+    // changes of the store, or it is of an earlier era.
     bool apply_peer_response(mesh::host_address const& host,
                              exchange_result const& result);
 
@@ -226,7 +228,7 @@
     std::shared_ptr<mesh::route_table const> routes_;
     // Document of the configuration in force. The store may lose it.
     std::string configuration_document_;
-    // As the store has them.
+    // Entries in the store.
     host_entries hosts_;
     // Entries of an earlier era of the store that it has lost or has in an
     // older state. They replace those in hosts_ until the host writes its
@@ -280,17 +282,17 @@
     mono_time startup_end_{};
     // Current backoff between calls to a failing store; 0 after a success.
     milliseconds retry_delay_{0};
-    // The same for writes of the entry of this host, which may be refused while
-    // the store responds to reads.
+    // Current backoff between writes of the entry of this host, which may be
+    // rejected while the store responds to reads.
     milliseconds write_retry_delay_{0};
-    // Delay before the next read after the store had no history for a watch; 0
-    // after a watch that has returned changes or none.
+    // Delay before the next complete read after a watch that found no history;
+    // 0 after a successful watch.
     milliseconds history_gone_delay_{0};
     mono_time next_store_attempt_{};
     // Changes may have been missed: the store must be read completely before
     // it is watched again.
     bool must_read_store_ = true;
-    // Whether read_later_era has a call open or is to make one.
+    // Whether read_later_era has an open call or a scheduled retry.
     bool reading_later_era_ = false;
     int health_checks_ = 0;
     std::shared_ptr<client_pool> upstream_pool_;
--- a/src/pollenhall_sidecar/node_metrics.cpp
+++ b/src/pollenhall_sidecar/node_metrics.cpp
@@ -73,10 +73,11 @@
                      "Version of the configuration in force")),
       store_(gauge(registry_, "pollenhall_store_reachable",
                    "Whether the last call to the store was answered")),
-      store_revision_(gauge(registry_, "pollenhall_store_revision",
-                            "Revision up to which the store is known")),
+      store_revision_(
+          gauge(registry_, "pollenhall_store_revision",
+                "Revision of the store up to which changes are known")),
       store_era_(gauge(registry_, "pollenhall_store_era",
-                       "Era of the store, later after each restore")),
+                       "Era of the store, higher after each restore")),
       dropped_lines_(gauge(registry_, "pollenhall_log_lines_dropped",
                            "Log lines that found no room"))
 {
--- a/src/pollenhall_sidecar/node_metrics.hpp
+++ b/src/pollenhall_sidecar/node_metrics.hpp
@@ -44,7 +44,7 @@
     void record_store_call(std::string_view call, std::string_view outcome);
     /// Sets the revision up to which the changes of the store are known.
     void set_store_revision(std::int64_t revision);
-    /// Sets how often the store has come back from an older copy.
+    /// Sets the era of the store; see `mesh::store_era`.
     void set_store_era(std::int64_t era);
     void set_configuration_version(std::int64_t version);
     void set_store_reachable(bool reachable);
--- a/src/pollenhall_sidecar/shared_store.hpp
+++ b/src/pollenhall_sidecar/shared_store.hpp
@@ -45,7 +45,7 @@
 
     virtual ~shared_store() = default;
 
-    /// Latest era that a response has named, whatever its outcome.
+    /// Latest era that any response has reported, also that of a failed call.
     [[nodiscard]] virtual store_era era() const = 0;
 
     /// Reads all items under a prefix; sets `complete` in the result.
