pollenhall-sidecar: watches that end at once are not repeated without a pause

Change: a watch of the store begins at the earliest min_wait after the last one that brought nothing; a peer that responds early without a change is polled again after 50 ms.

--- a/src/pollenhall_sidecar/control_node.cpp
+++ b/src/pollenhall_sidecar/control_node.cpp
@@ -188,24 +188,29 @@
         random_() %
         static_cast<std::uint64_t>(
             (options_.watch.max_wait - options_.watch.min_wait).count()))};
-    store_.watch(layout_.common_prefix, mirror_.revision(),
-                 options_.watch.min_wait + jitter,
-                 [this](absl::StatusOr<store_items> changes)
-                 {
-                     if (!changes.ok())
-                     {
-                         on_store_error("watch", changes.status());
-                         return retry_after_store_error();
-                     }
-                     on_store_response();
-                     history_gone_delay_ = milliseconds{0};
-                     set_receiving_changes(true);
-                     apply_changes(*changes, "store");
-                     publish_entry();
-                     if (!changes->items.empty())
-                         postpone_watch();
-                     wait_for_changes();
-                 });
+    store_.watch(
+        layout_.common_prefix, mirror_.revision(),
+        options_.watch.min_wait + jitter,
+        [this, started = mono_now()](absl::StatusOr<store_items> const& changes)
+        {
+            if (!changes.ok())
+            {
+                on_store_error("watch", changes.status());
+                return retry_after_store_error();
+            }
+            on_store_response();
+            history_gone_delay_ = milliseconds{0};
+            set_receiving_changes(true);
+            apply_changes(*changes, "store");
+            publish_entry();
+            if (!changes->items.empty())
+                postpone_watch();
+            else
+                // A store that ends watches early is not called more
+                // often than one that holds them.
+                next_store_attempt_ = started + options_.watch.min_wait;
+            wait_for_changes();
+        });
 }
 
 void control_node::set_receiving_changes(bool receiving)
--- a/src/pollenhall_sidecar/control_node.hpp
+++ b/src/pollenhall_sidecar/control_node.hpp
@@ -104,7 +104,8 @@
     [[nodiscard]] milliseconds jittered(milliseconds delay);
     void watch_store();
     void watch_peer(mesh::host_address const& peer);
-    void on_peer_response(mesh::host_address const& peer,
+    // `wait_end` is until when the peer was to hold a response without changes.
+    void on_peer_response(mesh::host_address const& peer, mono_time wait_end,
                           exchange_result const& result);
     // If this node is a relay, polls the other relays in turn.
     void poll_other_relay();
--- a/src/pollenhall_sidecar/control_peers.cpp
+++ b/src/pollenhall_sidecar/control_peers.cpp
@@ -22,7 +22,8 @@
 // Nodes respond within milliseconds; one that does not is partitioned or
 // frozen.
 constexpr milliseconds peer_timeout{300};
-// Delay before the next peer is watched after one has failed.
+// Delay before the next peer is watched after one has failed, or has responded
+// early without a change.
 constexpr milliseconds peer_failure_delay{50};
 // Delay between two polls of other relays, so that the entries of many starting
 // hosts arrive in a few batches. Even if one of the other relays is partitioned
@@ -39,16 +40,19 @@
 
 void control_node::watch_peer(mesh::host_address const& peer)
 {
-    request_changes(peer,
-                    relays_.must_verify(peer) ? milliseconds{0}
-                                              : options_.watch.max_peer_wait,
-                    [this, peer](exchange_result const& result)
-                    { on_peer_response(peer, result); });
+    auto const wait = relays_.must_verify(peer) ? milliseconds{0}
+                                                : options_.watch.max_peer_wait;
+    request_changes(peer, wait,
+                    [this, peer, wait_end = mono_now() + wait](
+                        exchange_result const& result)
+                    { on_peer_response(peer, wait_end, result); });
 }
 
 void control_node::on_peer_response(mesh::host_address const& peer,
+                                    mono_time wait_end,
                                     exchange_result const& result)
 {
+    auto const known = mirror_.revision();
     if (!apply_peer_response(peer, result))
     {
         relays_.on_failure(peer, mono_now());
@@ -57,6 +61,8 @@
     relays_.on_response(peer);
     set_receiving_changes(true);
     publish_entry();
+    if (mirror_.revision() == known && mono_now() < wait_end)
+        return wait_for_changes_later(peer_failure_delay);
     wait_for_changes();
 }
 
