pollenhalld: a lost space that cannot be stored again leaves a log line

Cause: the error of restore_space was dropped. Change: lost_space_not_stored, with the error. Two functions of document_writer and some comments are named and worded by what they do. Result: builds; no test of the new line.

--- a/src/libpollenhall_io/document_writer.cpp
+++ b/src/libpollenhall_io/document_writer.cpp
@@ -77,11 +77,13 @@
     return known.content.space.starts_with(member_space_prefix);
 }
 
-bool lacks_known(space_head const& stored, known_space const& known)
+// Whether the store has lost what this node has in force, or has given its
+// generation to another change.
+bool must_restore(space_head const& stored, known_space const& known)
 {
     auto const newest = known.content.newest;
-    // Homes may have run keys by the epochs of a roster, so one that the store
-    // has under the same generation replaces none that is known.
+    // Of two rosters with the same generation, the known one stays: homes may
+    // have run keys by its epochs.
     return stored.newest < newest ||
            (stored.newest == newest && is_member_space(known) &&
             have_diverged(stored, known));
@@ -94,8 +96,9 @@
     std::vector<versioned_document> documents;
 };
 
-// The content of the store as the generation after the known one.
-restored_space renumber(stored_space const& stored, known_space const& known)
+// Returns the content of the store as the generation after the known one.
+restored_space as_next_generation(stored_space const& stored,
+                                  known_space const& known)
 {
     auto const next = generation(known.content.newest.value() + 1);
     restored_space result{.head = stored.head,
@@ -118,19 +121,20 @@
     return result;
 }
 
-// Reads the space after the store has again what this node has in force.
+// Reads the space, after storing again what this node has in force if the store
+// has lost it.
 absl::StatusOr<stored_space> read_or_restore(etcd_store& store,
                                              std::string_view prefix,
                                              write_request const& request)
 {
     auto stored = read_space(store, prefix, request.space);
-    if (!stored.ok() || !lacks_known(stored->head, request.known))
+    if (!stored.ok() || !must_restore(stored->head, request.known))
         return stored;
     auto const restored = restore_space(store, prefix, request.known);
     if (!restored.ok())
         return restored.status();
     stored = read_space(store, prefix, request.space);
-    if (stored.ok() && lacks_known(stored->head, request.known))
+    if (stored.ok() && must_restore(stored->head, request.known))
         return absl::UnavailableError(
             "the store has an older generation than this node");
     return stored;
@@ -164,11 +168,11 @@
     auto const stored = read_space(store, prefix, content.space);
     if (!stored.ok())
         return stored.status();
-    if (!lacks_known(stored->head, known))
+    if (!must_restore(stored->head, known))
         return false;
     auto const restored =
         is_member_space(known) && have_diverged(stored->head, known)
-            ? renumber(*stored, known)
+            ? as_next_generation(*stored, known)
             : restored_space{.head = restored_head(stored->head, known),
                              .documents = content.documents};
     auto const& present = stored->update.documents;
--- a/src/pollenhalld/control_documents.cpp
+++ b/src/pollenhalld/control_documents.cpp
@@ -152,7 +152,12 @@
         {
             auto const restored =
                 restore_space(store, settings_.store_prefix, known);
-            if (restored.ok() && *restored)
+            if (!restored.ok())
+                log_event("lost_space_not_stored", log_level::warning)
+                    .add("space", known.content.space)
+                    .add("generation", known.content.newest.value())
+                    .add("error", std::string(restored.status().message()));
+            else if (*restored)
                 log_event("lost_space_stored_again", log_level::warning)
                     .add("space", known.content.space)
                     .add("generation", known.content.newest.value());
