--- a/src/include/pollenhall/io/document_writer.hpp
+++ b/src/include/pollenhall/io/document_writer.hpp
@@ -1,6 +1,6 @@
 // Changes a space of documents in the store by compare-and-swap, and determines
-// the outcome of a change whose response was lost. A store that came back from
-// an older copy gets again what nodes have in force.
+// the outcome of a change whose response was lost. Also stores again what a
+// restored store has lost and nodes have in force.
 
 #pragma once
 
@@ -61,10 +61,10 @@
 read_space(etcd_store& store, std::string_view prefix, std::string_view space);
 
 /// Stores a space again if the store has an older generation of it, because it
-/// came back from an older copy. If the store has since accepted another change
-/// of a member's declarations under a generation that was known here already,
-/// its content becomes the next generation instead: it was accepted last.
-/// Returns whether the space was written.
+/// was restored from an older snapshot. If the store has since accepted another
+/// change of a member's declarations under a generation that was known here
+/// already, its content becomes the next generation instead: it was accepted
+/// last. Returns whether the space was written.
 absl::StatusOr<bool> restore_space(etcd_store& store, std::string_view prefix,
                                    known_space const& known);
 
--- a/src/include/pollenhall/mesh/store_mirror.hpp
+++ b/src/include/pollenhall/mesh/store_mirror.hpp
@@ -16,9 +16,8 @@
 namespace pollenhall::mesh
 {
 
-/// Counts how often the store has come back from an older copy. The changes
-/// that the copy did not have are lost, and their revisions are given out
-/// again.
+/// Counts how often the store has been restored from an older snapshot. The
+/// changes made after the snapshot are lost, and their revisions are reused.
 using store_era = strong_value<struct store_era_tag, std::int64_t>;
 
 /// Revision of the store; its number increases with each change within an era.
--- a/src/include/pollenhall/store_layout.hpp
+++ b/src/include/pollenhall/store_layout.hpp
@@ -80,8 +80,8 @@
                      std::string actor);
 
 /// Whether the newest generation that both have a record of was created by
-/// different applies. A store that came back from an older copy gives
-/// generations out again.
+/// different applies. A store that was restored from an older snapshot reuses
+/// generations.
 bool have_diverged(space_head const& stored, known_space const& known);
 
 /// Returns the head of a space that the store has at an older generation than
--- a/src/libpollenhall/document_book_test.cpp
+++ b/src/libpollenhall/document_book_test.cpp
@@ -146,7 +146,7 @@
         CHECK_FALSE(have_diverged(copy, known));
         CHECK_FALSE(have_diverged({}, known));
     }
-    SUBCASE("a generation that was given out again is another history")
+    SUBCASE("a generation that is reused is another history")
     {
         CHECK(have_diverged(next_head(copy, "other", "test"), known));
     }
--- a/src/libpollenhall_io/document_writer.cpp
+++ b/src/libpollenhall_io/document_writer.cpp
@@ -77,8 +77,8 @@
     return known.content.space.starts_with(member_space_prefix);
 }
 
-// Whether the store has lost what this node has in force, or has given its
-// generation to another change.
+// Whether the store has lost what this node has in force, or has another change
+// under its generation.
 bool must_restore(space_head const& stored, known_space const& known)
 {
     auto const newest = known.content.newest;
--- a/src/libpollenhall_io/etcd_store.cpp
+++ b/src/libpollenhall_io/etcd_store.cpp
@@ -360,8 +360,8 @@
             malformed = message.status();
             if (!message.ok() || message->cancelled)
                 return false;
-            // A store that came back from an older copy sends nothing until it
-            // has given out all revisions before `from` again.
+            // A store that was restored from an older snapshot sends nothing
+            // until its revision has reached `from` once more.
             auto const store_has = message->revision.value();
             if (store_has != 0 && store_has + 1 < from.value())
                 return false;
--- a/src/libpollenhall_mesh/store_mirror_test.cpp
+++ b/src/libpollenhall_mesh/store_mirror_test.cpp
@@ -1,7 +1,7 @@
 // Tests that mirrors agree with the store. Guards against stale or removed
 // values that come back when updates from the store and from peers arrive in a
 // different order, and against mirrors that take the revisions of a store that
-// has come back from an older copy for those that they know.
+// has been restored from an older snapshot for those that they know.
 
 #include <pollenhall/mesh/store_mirror.hpp>
 
@@ -73,8 +73,8 @@
 
 constexpr std::array<char const*, 5> keys{"a", "b", "c", "d", "e"};
 
-/// Reference model of a store that can come back from an older copy. It keeps
-/// the history of each era, also after the era has ended.
+/// Reference model of a store that can be restored from an older snapshot. It
+/// keeps the history of each era, also after the era has ended.
 class restorable_store
 {
 public:
@@ -465,7 +465,8 @@
 
 // Guards against mirrors that ignore a restored store, that mix values of two
 // eras, or that get back a value from a response that comes late.
-TEST_CASE("mirrors of a store that comes back from older copies agree with it")
+TEST_CASE(
+    "mirrors of a store that is restored from older snapshots agree with it")
 {
     bool const holds = rc::check(
         "after any sequence of restores, updates and late responses",
--- a/src/pollenhall_sidecar/change_feed.hpp
+++ b/src/pollenhall_sidecar/change_feed.hpp
@@ -60,8 +60,8 @@
     /// node.
     void set_current(bool current);
     /// Sets the configuration in force if it differs from the one in the store,
-    /// as after the store has come back from an older copy. An empty document
-    /// means that the store has it.
+    /// as after the store has been restored from an older snapshot. An empty
+    /// document means that the store has it.
     void set_unstored_configuration(mesh::config_version version,
                                     std::string document);
     /// Sets a handler that is called with the address of a peer that knows a
--- a/src/pollenhall_sidecar/control_node.hpp
+++ b/src/pollenhall_sidecar/control_node.hpp
@@ -117,8 +117,8 @@
     void set_receiving_changes(bool receiving);
     void apply_changes(store_items const& update, std::string_view source);
     using host_entries = std::map<mesh::host_address, mesh::host_entry>;
-    // The store has come back from an older copy. `known` and `known_hosts` are
-    // what was known before.
+    // The store has been restored from an older snapshot. `known` and
+    // `known_hosts` are what was known before.
     void on_era_changed(store_revision known, host_entries const& known_hosts);
     // Uses entries that the store has lost for some time longer. Live hosts
     // write theirs again meanwhile.
--- a/src/pollenhall_sidecar/shared_store.hpp
+++ b/src/pollenhall_sidecar/shared_store.hpp
@@ -33,10 +33,10 @@
 /// Asynchronous key-value store. Each handler is called exactly once, on the
 /// control thread, after the call has returned. Errors: `OutOfRange` if the
 /// history after the requested revision is not available, also because the
-/// store has come back from an older copy, `FailedPrecondition` if the expected
-/// revision does not match or is of an earlier era, `ResourceExhausted` and
-/// `Unavailable` if the call had no effect, `Unknown` if a write may or may not
-/// have been applied.
+/// store has been restored from an older snapshot, `FailedPrecondition` if the
+/// expected revision does not match or is of an earlier era,
+/// `ResourceExhausted` and `Unavailable` if the call had no effect, `Unknown`
+/// if a write may or may not have been applied.
 class shared_store
 {
 public:
--- a/src/pollenhalld/control_plane.hpp
+++ b/src/pollenhalld/control_plane.hpp
@@ -169,8 +169,8 @@
     void on_gossip(gossip_message const& message, peer_endpoint const& from);
     void publish_upstream();
     void merge(space_update const& update);
-    // Merges what the store has, and stores again what it has lost by coming
-    // back from an older copy.
+    // Merges what the store has, and stores again what a restored store has
+    // lost.
     void on_stored_spaces(std::vector<space_update> const& spaces,
                           bool complete);
     void store_again(std::string const& space);
--- a/src/pollenhalld/seed_registry.cpp
+++ b/src/pollenhalld/seed_registry.cpp
@@ -44,8 +44,9 @@
 {
     auto const key = settings_.store_prefix + "seeds/" +
                      settings_.zone.value() + "/" + settings_.name.value();
-    // A store that came back from an older copy may have given the lease to
-    // another client, so that its renewal does not show that the entry is lost.
+    // A store that was restored from an older snapshot may have given the lease
+    // to another client, so that its renewal does not show that the entry is
+    // lost.
     if (lease_ && store.keep_alive(*lease_).ok())
     {
         auto const view = store.read_prefix(key);
--- a/src/pollenhalld/suspicion_registry.cpp
+++ b/src/pollenhalld/suspicion_registry.cpp
@@ -16,8 +16,8 @@
 
 constexpr milliseconds min_retry_delay{500};
 constexpr milliseconds max_retry_delay{10'000};
-// Interval between writes of the same suspicions. A store that has come back
-// from an older copy may have lost them.
+// Interval between writes of the same suspicions. A store that has been
+// restored from an older snapshot may have lost them.
 constexpr milliseconds refresh_interval{10'000};
 
 absl::Status write_value(etcd_store& store, store_write entry,
--- a/src/standins/store_standin.cpp
+++ b/src/standins/store_standin.cpp
@@ -6,7 +6,7 @@
 // lose_answers (number of transactions whose response is lost after they took
 // effect), stale_reads (bool), silent_watches (bool), expire_leases (bool),
 // compacted (bool), copy (bool; takes a copy of the store) and restore (bool;
-// the store comes back from that copy) and writes (with `restore`; operations
+// the store is restored from that copy) and writes (with `restore`; operations
 // of a transaction that another client had performed before any other call).
 // GET /standin/counters returns the number of calls by path.
 
@@ -226,7 +226,7 @@
         }
     }
 
-    /// Number of times that the store came back from a copy.
+    /// Number of times that the store was restored from a snapshot.
     int restores()
     {
         std::lock_guard const lock(mutex_);
@@ -272,7 +272,7 @@
         changed_.notify_all();
     }
 
-    // Revisions and leases since the copy are given out again. As in etcd,
+    // Revisions and leases since the copy are reused. As in etcd,
     // leases begin anew when the store starts.
     void restore()
     {
@@ -422,7 +422,7 @@
              restores](std::size_t, httplib::DataSink& sink) mutable
             {
                 auto const fault = store_.current_faults();
-                // A store that comes back from a copy has been restarted.
+                // A store that is restored from a snapshot has been restarted.
                 if (stopping_ || fault.down || store_.restores() != restores)
                 {
                     sink.done();
--- a/testsuite/soak/standins.py
+++ b/testsuite/soak/standins.py
@@ -36,9 +36,8 @@
 class Store:
     """Key-value store with revisions, watches, transactions and faults.
 
-    `restore` replaces the content with an older copy, as a store does that is
-    recovered from a backup. Each response names the era, which rises by one
-    with each restore.
+    `restore` replaces the content with an older snapshot. Each response
+    reports the era, which rises by one with each restore.
     """
 
     def __init__(self):
@@ -76,7 +75,7 @@
         """Goes back to the content of `age_s` seconds ago.
 
         Later changes are lost, also those of the operator and of upstreams,
-        and their revisions are given out again. Open connections are reset,
+        and their revisions are reused. Open connections are reset,
         calls in progress are not executed, and for `away_s` all connections
         are reset. Returns the lost keys with their newest values, None for a
         removal.
--- a/testsuite/test_daemon_store_restore.py
+++ b/testsuite/test_daemon_store_restore.py
@@ -1,8 +1,8 @@
-"""A store that comes back from an older copy, and one without history.
+"""A store that is restored from an older snapshot, and one without history.
 
 Guards against declarations and rosters that are lost with the store's last
 writes, against changes that are accepted but never in force because their
-generation was given out before, and against calls without a delay.
+generation had been used before, and against calls without a delay.
 """
 
 import base64
@@ -83,7 +83,7 @@
         self.deployment.set_store_fault(copy=True)
 
     def restore_store(self, writes=()):
-        """The store is away for half a second and comes back.
+        """Restores the store from the copy after an outage of half a second.
 
         `writes` are values that it then has before any node reads it.
         """
@@ -213,7 +213,8 @@
                                self.generations(ROSTER).values()), 20,
                    "the roster has an epoch after the lost one")
         self.deployment.wait_ready()
-        # Until the epoch begins, the home of a key may be a terminated process.
+        # Until the epoch begins, the home of a key may be a terminated
+        # process.
         for _ in range(3):
             key = make_idempotency_key()
             for each in self.deployment.nodes.values():
@@ -239,7 +240,8 @@
         for _ in range(5):
             http_request(self.deployment.store_port, "POST", "/v3/lease/grant",
                          json.dumps({"TTL": "600"}))
-        wait_until(lambda: self.stored(key), 25, "the seed is registered again")
+        wait_until(lambda: self.stored(key), 25,
+                   "the seed is registered again")
 
 
 class CompactedStore(DeploymentTestCase):
--- a/testsuite/test_store_restore.py
+++ b/testsuite/test_store_restore.py
@@ -2,7 +2,7 @@
 
 Guards against nodes that serve an older configuration for longer than the
 bound, or again: while the nodes that watch the store are cut off from it, and
-after the store has come back from an older copy (issue 43).
+after the store has been restored from an older snapshot (issue 43).
 """
 
 import asyncio
@@ -348,7 +348,7 @@
 
 
 class StoreRestored(StoreTestCase):
-    """The store comes back from an older copy while callers send requests."""
+    """The store is restored from a snapshot while callers send requests."""
 
     async def asyncSetUp(self):
         await super().asyncSetUp()
